--- a/src/main/java/harerouter/Decide.java
+++ b/src/main/java/shelffront/Decide.java
@@ -1,4 +1,4 @@
-package harerouter;
+package shelffront;
 
 import static java.util.stream.Collectors.toList;
 
@@ -19,7 +19,7 @@
 import java.util.stream.Stream;
 
 /**
- * All decisions of harerouter. The interface, with every type, event and action, is Router.java.
+ * All decisions of shelffront. The interface, with every type, event and action, is Router.java.
  *
  * <p>In one sentence: a session's read goes to a replica known to have applied the session's last write,
  * after a short bounded wait, else to the primary. What cannot be sent yet is held in its group and looked at
--- a/src/main/java/harerouter/adapter/MalformedInputException.java
+++ b/src/main/java/shelffront/adapter/MalformedInputException.java
@@ -1,4 +1,4 @@
-package harerouter.adapter;
+package shelffront.adapter;
 
 /** Input that is not in the form of the wire; the message is one plain line. */
 final class MalformedInputException extends Exception {
--- a/src/main/java/harerouter/adapter/Row.java
+++ b/src/main/java/shelffront/adapter/Row.java
@@ -1,4 +1,4 @@
-package harerouter.adapter;
+package shelffront.adapter;
 
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/harerouter/adapter/SettingsReader.java
+++ b/src/main/java/shelffront/adapter/SettingsReader.java
@@ -1,15 +1,15 @@
-package harerouter.adapter;
+package shelffront.adapter;
 
-import harerouter.Router.ClassSettings;
-import harerouter.Router.Effect;
-import harerouter.Router.LagCheck;
-import harerouter.Router.Limits;
-import harerouter.Router.ListRole;
-import harerouter.Router.Read;
-import harerouter.Router.ReportSource;
-import harerouter.Router.Rules;
-import harerouter.Router.Scope;
-import harerouter.Router.Settings;
+import shelffront.Router.ClassSettings;
+import shelffront.Router.Effect;
+import shelffront.Router.LagCheck;
+import shelffront.Router.Limits;
+import shelffront.Router.ListRole;
+import shelffront.Router.Read;
+import shelffront.Router.ReportSource;
+import shelffront.Router.Rules;
+import shelffront.Router.Scope;
+import shelffront.Router.Settings;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/src/test/java/harerouter/FailureTest.java
+++ b/src/test/java/shelffront/FailureTest.java
@@ -1,13 +1,13 @@
-package harerouter;
+package shelffront;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import harerouter.Router.ListKind;
-import harerouter.Router.Role;
-import harerouter.Router.Status;
+import shelffront.Router.ListKind;
+import shelffront.Router.Role;
+import shelffront.Router.Status;
 import java.lang.reflect.Field;
 import java.time.Duration;
 import java.util.Collection;
--- a/src/test/java/harerouter/OrdinaryPathTest.java
+++ b/src/test/java/shelffront/OrdinaryPathTest.java
@@ -1,12 +1,12 @@
-package harerouter;
+package shelffront;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import harerouter.Router.LagCheck;
-import harerouter.Router.Role;
-import harerouter.Router.Status;
+import shelffront.Router.LagCheck;
+import shelffront.Router.Role;
+import shelffront.Router.Status;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/harerouter/Recorder.java
+++ b/src/test/java/shelffront/Recorder.java
@@ -1,4 +1,4 @@
-package harerouter;
+package shelffront;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/harerouter/RulesTest.java
+++ b/src/test/java/shelffront/RulesTest.java
@@ -1,13 +1,13 @@
-package harerouter;
+package shelffront;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import harerouter.Router.Availability;
-import harerouter.Router.Role;
-import harerouter.Router.Scope;
-import harerouter.Router.Status;
+import shelffront.Router.Availability;
+import shelffront.Router.Role;
+import shelffront.Router.Scope;
+import shelffront.Router.Status;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/test/java/harerouter/SourceTest.java
+++ b/src/test/java/shelffront/SourceTest.java
@@ -1,4 +1,4 @@
-package harerouter;
+package shelffront;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,7 +13,7 @@
 
     @Test
     void theModuleStaysReadable() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/harerouter/Decide.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/shelffront/Decide.java"));
         long filled = lines.stream().filter(l -> !l.isBlank()).count();
         assertTrue(filled <= 850, filled + " lines that are not blank");
         for (int i = 0; i < lines.size(); i++) {
--- a/src/test/java/harerouter/adapter/AdapterIT.java
+++ b/src/test/java/shelffront/adapter/AdapterIT.java
@@ -1,4 +1,4 @@
-package harerouter.adapter;
+package shelffront.adapter;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -41,7 +41,7 @@
 
     private static Result run(String input, String... arguments) throws IOException, InterruptedException {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        List<String> command = Stream.concat(Stream.of(java, "-jar", "target/harerouter.jar"),
+        List<String> command = Stream.concat(Stream.of(java, "-jar", "target/shelffront.jar"),
                 Stream.of(arguments)).toList();
         Process process = new ProcessBuilder(command).start();
         try (OutputStream stdin = process.getOutputStream()) {
@@ -71,7 +71,7 @@
                 ["reply",0,"00000000000000bb","reset",false,0,99000,null,"member_a",null]
                 ["gone",0,"00000000000000aa"]
                 ["eofBatch"]
-                """, "adapter");
+                """, "benchlink");
         assertEquals(List.of(), r.err);
         assertEquals(0, r.code);
         assertEquals(4, r.out.stream().filter(l -> l.equals("[\"ok\"]")).count());
@@ -85,19 +85,19 @@
     void malformedInputIsNamedByLineOnceAndEndsTheProcess() throws Exception {
         for (String bad : List.of("[\"query\",0]", "{\"a\":1}", "[\"clock\"", "[\"nothing\",0]", "[\"clock\",\"x\"]",
                 "[\"discovery\",0,\"all\",2,9]", "[\"reply\",0,\"aa\",\"odd\",true,0,1,0,\"m\",null]")) {
-            Result r = run(START + "[\"clock\",2000005000]\n" + bad + "\n", "adapter");
+            Result r = run(START + "[\"clock\",2000005000]\n" + bad + "\n", "benchlink");
             assertEquals(1, r.code, bad);
             assertEquals(1, r.err.size(), bad);
-            assertTrue(r.err.get(0).matches("harerouter: line [78]: .+"), r.err.get(0));
+            assertTrue(r.err.get(0).matches("shelffront: line [78]: .+"), r.err.get(0));
         }
     }
 
     @Test
     void otherArgumentsPrintTheUsage() throws Exception {
-        for (String[] arguments : List.of(new String[] {}, new String[] {"serve"}, new String[] {"adapter", "x"})) {
+        for (String[] arguments : List.of(new String[] {}, new String[] {"serve"}, new String[] {"benchlink", "x"})) {
             Result r = run("", arguments);
             assertEquals(2, r.code);
-            assertEquals(List.of("usage: java -jar harerouter.jar adapter"), r.err);
+            assertEquals(List.of("usage: java -jar shelffront.jar benchlink"), r.err);
         }
     }
 }
