--- /dev/null
+++ b/src/main/java/shelffront/Main.java
@@ -0,0 +1,71 @@
+package shelffront;
+
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import shelffront.adapter.Wire;
+import shelffront.config.GatewayConfig;
+import shelffront.config.MalformedInputException;
+import shelffront.gateway.Gateway;
+import shelffront.net.Budget;
+import shelffront.net.Counters;
+import shelffront.net.Network;
+import shelffront.net.TurnLoop;
+
+/** The commands: {@code serve} runs a gateway, {@code benchlink} speaks the simulator's wire. */
+public final class Main {
+
+    private static final long BUFFER_BYTES = 24L << 20;
+    private static final long STOP_SECONDS = 30;
+
+    private Main() { }
+
+    public static void main(String[] args) {
+        String command = args.length == 1 ? args[0] : "";
+        try {
+            switch (command) {
+                case "serve" -> serve();
+                case "benchlink" -> new Wire(new FileInputStream(FileDescriptor.in),
+                        new FileOutputStream(FileDescriptor.out)).run();
+                default -> {
+                    System.err.println("usage: java -jar shelffront.jar serve|benchlink");
+                    System.exit(2);
+                }
+            }
+        } catch (MalformedInputException | IOException e) {
+            System.err.println("shelffront: " + e.getMessage());
+            System.exit(1);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void serve() throws IOException, MalformedInputException, InterruptedException {
+        GatewayConfig config = GatewayConfig.fromEnvironment(System.getenv());
+        Counters counters = new Counters();
+        TurnLoop loop = new TurnLoop(() -> ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()), counters);
+        PrintStream log = new PrintStream(new FileOutputStream(FileDescriptor.out), true);
+        Gateway gateway = new Gateway(Network.open(loop, new Budget(BUFFER_BYTES), counters, log), config);
+        CountDownLatch stopped = new CountDownLatch(1);
+        // The process ends when its hooks return, so the hook stays until all that was taken is answered.
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            loop.post(gateway::drain);
+            try {
+                stopped.await(STOP_SECONDS, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "stop"));
+        gateway.start();
+        log.println("gateway " + config.name() + " listens on " + gateway.address());
+        loop.run();
+        log.flush();
+        stopped.countDown();
+    }
+}
--- a/src/main/java/shelffront/adapter/Row.java
+++ b/src/main/java/shelffront/adapter/Row.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import shelffront.config.MalformedInputException;
 
 /** One array of the wire: named access to its values by place, with plain messages on what is wrong. */
 final class Row {
--- a/src/main/java/shelffront/adapter/Wire.java
+++ b/src/main/java/shelffront/adapter/Wire.java
@@ -16,6 +16,8 @@
 import shelffront.Router.Request;
 import shelffront.Router.Role;
 import shelffront.Router.Status;
+import shelffront.config.MalformedInputException;
+import shelffront.config.SettingsReader;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
@@ -28,7 +30,7 @@
 import java.util.TreeMap;
 
 /** Speaks the simulator's wire: reads batches of events, hands them to the instances, writes their actions. */
-final class Wire {
+public final class Wire {
 
     private static final Map<String, Status> STATUSES = Map.of("ok", Status.OK, "error", Status.ERROR,
             "full", Status.FULL, "timeout", Status.TIMEOUT, "connect_failed", Status.CONNECT_FAILED,
@@ -47,7 +49,7 @@
     private final Map<Integer, List<Member>> catalogs = new HashMap<>();
     private long now;
 
-    Wire(InputStream input, OutputStream output) {
+    public Wire(InputStream input, OutputStream output) {
         try {
             JsonFactory factory = new JsonFactory();
             in = factory.createParser(input);
@@ -58,7 +60,7 @@
         }
     }
 
-    void run() throws IOException, MalformedInputException {
+    public void run() throws IOException, MalformedInputException {
         boolean inBatch = false;
         int line = 1;
         try {
--- /dev/null
+++ b/src/main/java/shelffront/client/ClientConnection.java
@@ -0,0 +1,252 @@
+package shelffront.client;
+
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import shelffront.Router.Read;
+import shelffront.gateway.Exchange;
+import shelffront.net.CloseReason;
+import shelffront.net.Connection;
+import shelffront.net.Counters;
+import shelffront.net.TurnLoop.Deadline;
+import shelffront.pg.Message;
+import shelffront.pg.ProtocolException;
+import shelffront.pg.Statement;
+
+/** A client's connection: reads its commands, has one at a time in work, and answers them in their order. */
+final class ClientConnection extends Connection implements Exchange.Asker {
+
+    private static final int MOST_WAITING = 8;   // Commands read ahead of the one in work.
+    private static final long STARTUP_TIME = 10_000_000;
+    private static final long IDLE_TIME = 300_000_000;
+    private static final long BUSY_WAIT = 200_000;
+
+    /**
+     * A command and when its last byte came: its time counts from there, however long it waits. Input that can't be
+     * read stands in the queue too, so that what came before it is answered first.
+     */
+    private record Command(Message message, long arrival, ProtocolException failure, CloseReason reason) { }
+
+    private final Clients clients;
+    private final ArrayDeque<Command> waiting = new ArrayDeque<>();
+    private boolean started;
+    private boolean skipToSync;
+    private String unreadable;        // why input from here on makes no sense
+    private Exchange current;
+    private int held;                 // bytes of the current request that the memory budget counts
+    private Deadline limit;
+
+    ClientConnection(Clients clients, AsynchronousSocketChannel channel) {
+        super(clients.network, "client", channel, Message.GREATEST);
+        this.clients = clients;
+        limit = clients.network.loop().at(now() + STARTUP_TIME, () -> close(CloseReason.STARTUP_TIMEOUT));
+        start();
+    }
+
+    /** Whether it may be closed without a loss: nothing of it is in work or unsent. */
+    boolean isIdle() {
+        return started && current == null && waiting.isEmpty() && drained();
+    }
+
+    @Override
+    protected boolean wantsInput() {
+        return unreadable == null && waiting.size() < MOST_WAITING;
+    }
+
+    @Override
+    protected void received(ByteBuffer bytes) {
+        try {
+            while (!started && startup(bytes)) {
+                continue;
+            }
+            while (started && wantsInput()) {
+                Message message = Message.next(bytes);
+                if (message == null) {
+                    break;
+                }
+                waiting.add(new Command(message, now(), null, null));
+            }
+        } catch (ProtocolException e) {
+            unreadable(e, e.code().equals(Message.TOO_LARGE) ? CloseReason.TOO_LARGE : CloseReason.MALFORMED);
+        }
+        work();
+    }
+
+    private void unreadable(ProtocolException why, CloseReason reason) {
+        unreadable = why.getMessage();
+        waiting.add(new Command(null, now(), why, reason));
+    }
+
+    /** Takes a message of the startup; false where more bytes are needed or it is over. */
+    private boolean startup(ByteBuffer bytes) throws ProtocolException {
+        Message message = Message.nextStartup(bytes);
+        if (message == null || isClosed()) {
+            return false;
+        }
+        switch (message.code()) {
+            case Message.SSL_REQUEST, Message.GSS_REQUEST -> write(new byte[] {'N'});
+            case Message.CANCEL_REQUEST -> {
+                close(CloseReason.TERMINATED);   // no key was given out, so there is nothing to cancel
+                return false;
+            }
+            default -> {
+                if (message.code() >> 16 != Message.PROTOCOL_3) {
+                    throw new ProtocolException("0A000", "only version 3 of the protocol is spoken here");
+                }
+                started = true;
+                write(Message.authenticationOk());
+                write(Message.parameterStatus("server_version", "15.0"));
+                write(Message.parameterStatus("client_encoding", "UTF8"));
+                write(Message.parameterStatus("standard_conforming_strings", "on"));
+                write(Message.readyForQuery());
+                idle();
+            }
+        }
+        return !started;
+    }
+
+    private void idle() {
+        limit.cancel();
+        limit = network.loop().at(now() + IDLE_TIME, () -> close(CloseReason.IDLE));
+    }
+
+    /** Takes up commands while none is in work and the answers before have gone out: output stays bounded. */
+    private void work() {
+        while (!isClosed() && current == null && drained() && !waiting.isEmpty()) {
+            Command command = waiting.poll();
+            try {
+                take(command);
+            } catch (ProtocolException e) {
+                network.counters().add(Counters.Name.REQUESTS_INVALID);
+                answer(Message.error(false, e.code(), e.getMessage(), null));
+            }
+        }
+        readMore();
+    }
+
+    private void take(Command command) throws ProtocolException {
+        if (command.failure() != null) {
+            write(Message.error(true, command.failure().code(), command.failure().getMessage(), null));
+            closeWhenWritten(command.reason());
+            return;
+        }
+        Message message = command.message();
+        if (skipToSync && message.type() != 'S' && message.type() != 'X') {
+            return;
+        }
+        switch (message.type()) {
+            case 'Q' -> query(message, command.arrival());
+            case 'X' -> close(CloseReason.TERMINATED);
+            case 'S' -> {
+                skipToSync = false;
+                write(Message.readyForQuery());
+            }
+            case 'P', 'B', 'D', 'E', 'C', 'H' -> {
+                skipToSync = true;
+                write(Message.error(false, "0A000", "only simple queries are served", null));
+            }
+            case 'F' -> throw new ProtocolException("0A000", "function calls are not served");
+            case 'd', 'c', 'f' -> { }   // copy data outside a copy is dropped, as a server does
+            default -> unreadable(new ProtocolException("08P01", "unknown message type " + (int) message.type()),
+                    CloseReason.MALFORMED);
+        }
+    }
+
+    private void query(Message message, long arrival) throws ProtocolException {
+        byte[] body = message.body();
+        if (body.length == 0 || body[body.length - 1] != 0) {
+            throw new ProtocolException("08P01", "the statement is not terminated");
+        }
+        byte[] bytes = Arrays.copyOf(body, body.length - 1);
+        if (blank(bytes)) {
+            answer(Message.emptyQueryResponse());
+            return;
+        }
+        Statement statement = Statement.read(bytes);
+        int classIndex = clients.classIndex(statement.value("c"));
+        Read read = clients.classes.get(classIndex).read();
+        long deadline = arrival + statement.number("d", 0) * 1000L;
+        String session = read == Read.WRITE || read == Read.SESSION ? statement.key() : null;
+        network.counters().add(Counters.Name.REQUESTS_TAKEN);
+        if (!network.budget().take(bytes.length)) {
+            refused(BUSY_WAIT);
+            return;
+        }
+        held = bytes.length;
+        limit.cancel();
+        current = new Exchange(statement.value("id"), statement, classIndex, deadline, this);
+        clients.taker.take(current, session, statement.number("cluster", 0), "1".equals(statement.value("r")));
+    }
+
+    private static boolean blank(byte[] statement) {
+        for (byte b : statement) {
+            if (b != ' ' && b != ';' && b != '\n' && b != '\r' && b != '\t') {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    @Override
+    public void served(byte[] messages) {
+        network.counters().add(Counters.Name.ANSWERS_SERVED);
+        over(messages);
+    }
+
+    @Override
+    public void refused(long retryAfter) {
+        network.counters().add(Counters.Name.ANSWERS_REFUSED);
+        over(Message.error(false, "53300", "refused untouched, it may be sent again",
+                retryAfter > 0 ? Long.toString((retryAfter + 999) / 1000) : null));
+    }
+
+    @Override
+    public void failed() {
+        network.counters().add(Counters.Name.ANSWERS_FAILED);
+        over(Message.error(false, "40003", "failed, its effect is not known", null));
+    }
+
+    private void over(byte[] messages) {
+        current = null;
+        network.budget().giveBack(held);
+        held = 0;
+        answer(messages);
+        idle();
+        clients.finished(this);
+    }
+
+    private void answer(byte[] messages) {
+        write(messages);
+        write(Message.readyForQuery());
+    }
+
+    @Override
+    protected void written() {
+        work();
+        clients.finished(this);
+    }
+
+    @Override
+    protected void refuse(CloseReason reason) {
+        unreadable(new ProtocolException(reason == CloseReason.NO_MEMORY ? "53200" : Message.TOO_LARGE,
+                "the message is too large"), reason);
+        work();
+    }
+
+    @Override
+    protected void ended(CloseReason reason) {
+        limit.cancel();
+        network.budget().giveBack(held);
+        if (current != null) {
+            network.counters().add(Counters.Name.REQUESTS_LEFT);
+            clients.taker.left(current);
+        }
+        clients.ended(this);
+    }
+
+    @Override
+    protected String describe() {
+        return unreadable != null ? "(" + unreadable + ")" : current == null ? "-" : "request=" + current.id;
+    }
+}
--- /dev/null
+++ b/src/main/java/shelffront/client/Clients.java
@@ -0,0 +1,141 @@
+package shelffront.client;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.channels.AsynchronousServerSocketChannel;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import shelffront.Router.ClassSettings;
+import shelffront.gateway.Exchange;
+import shelffront.net.CloseReason;
+import shelffront.net.Counters;
+import shelffront.net.Network;
+import shelffront.pg.ProtocolException;
+
+/** The client side: accepts connections, bounded in number, and passes their requests on as exchanges. */
+public final class Clients {
+
+    /** Takes requests in; each is answered through its exchange. */
+    public interface Taker {
+
+        void take(Exchange exchange, String session, int group, boolean repeat);
+
+        /** The client waits no longer; no answer is owed. */
+        void left(Exchange exchange);
+    }
+
+    private static final int BACKLOG = 1024;
+    private static final long ACCEPT_PAUSE = 20_000;
+
+    final Network network;
+    final Taker taker;
+    final List<ClassSettings> classes;
+    private final int mostConnections;
+    private final AsynchronousServerSocketChannel listener;
+    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private boolean full;
+    private boolean draining;
+
+    public Clients(Network network, InetSocketAddress listen, int mostConnections, List<ClassSettings> classes,
+            Taker taker) throws IOException {
+        this.network = network;
+        this.mostConnections = mostConnections;
+        this.classes = classes;
+        this.taker = taker;
+        listener = AsynchronousServerSocketChannel.open(network.group()).bind(listen, BACKLOG);
+    }
+
+    public SocketAddress address() throws IOException {
+        return listener.getLocalAddress();
+    }
+
+    public void accept() {
+        listener.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
+            @Override
+            public void completed(AsynchronousSocketChannel channel, Void none) {
+                network.loop().post(() -> accepted(channel));
+            }
+
+            @Override
+            public void failed(Throwable failure, Void none) {
+                network.loop().post(() -> acceptFailed(failure));
+            }
+        });
+    }
+
+    private void accepted(AsynchronousSocketChannel channel) {
+        network.counters().add(Counters.Name.CLIENTS_ACCEPTED);
+        connections.add(new ClientConnection(this, channel));
+        if (connections.size() < mostConnections || evict()) {
+            accept();
+        } else {
+            full = true;            // the rest wait in the backlog until one ends
+        }
+    }
+
+    /** Guards against a moment without descriptors ending all accepting. */
+    private void acceptFailed(Throwable failure) {
+        if (listener.isOpen()) {
+            network.log().println("accept failed: " + failure);
+            network.loop().at(network.loop().now() + ACCEPT_PAUSE, this::accept);
+        }
+    }
+
+    private boolean evict() {
+        for (ClientConnection c : connections) {
+            if (c.isIdle()) {
+                c.close(CloseReason.EVICTED);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    int classIndex(String name) throws ProtocolException {
+        for (int i = 0; i < classes.size(); i++) {
+            if (classes.get(i).name().equals(name)) {
+                return i;
+            }
+        }
+        throw new ProtocolException("42601", "the class is not known");
+    }
+
+    /** The connection may have nothing more to do. */
+    void finished(ClientConnection connection) {
+        if (draining && connection.isIdle()) {
+            connection.close(CloseReason.DRAINED);
+        }
+    }
+
+    void ended(ClientConnection connection) {
+        connections.remove(connection);
+        if (full && !draining) {
+            full = false;
+            accept();
+        }
+    }
+
+    /** Closes connections as they fall idle; new ones are still taken, for they may carry requests. */
+    public void drain() {
+        draining = true;
+        List.copyOf(connections).forEach(this::finished);
+    }
+
+    /** Whether no connection has anything left to answer. */
+    public boolean isEmpty() {
+        return connections.isEmpty();
+    }
+
+    public void close() {
+        try {
+            listener.close();
+        } catch (IOException e) {
+            network.log().println("close listener failed: " + e.getMessage());
+        }
+        List.copyOf(connections).forEach(c -> c.close(CloseReason.DRAINED));
+    }
+}
--- /dev/null
+++ b/src/main/java/shelffront/config/GatewayConfig.java
@@ -0,0 +1,56 @@
+package shelffront.config;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import shelffront.Router.Settings;
+
+/** What the environment and the configuration file tell a gateway at its start. */
+public record GatewayConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+        int sockets, int openCap, Settings settings, MemberList known) {
+
+    public static GatewayConfig fromEnvironment(Map<String, String> environment)
+            throws IOException, MalformedInputException {
+        String path = environment.get("BALANCER_CONFIG");
+        if (path == null) {
+            throw new MalformedInputException("BALANCER_CONFIG is not set");
+        }
+        Map<?, ?> top = Json.object(Files.readString(Path.of(path)));
+        Map<?, ?> settings = Json.part(top, "settings");
+        return new GatewayConfig(given(environment, "BALANCER_NAME", top, "name"),
+                address(given(environment, "BALANCER_LISTEN", top, "listen")),
+                address(given(environment, "BALANCER_DISCOVERY", top, "discovery")),
+                seed(Json.text(top, "seed")),
+                (int) Json.number(Json.part(top, "limits"), "sockets", 1024),
+                (int) Json.number(Json.part(settings, "limits"), "openCap", 20_000),
+                SettingsReader.read(settings), MemberList.read(Json.part(top, "known")));
+    }
+
+    private static String given(Map<String, String> environment, String variable, Map<?, ?> top, String name)
+            throws MalformedInputException {
+        String value = environment.get(variable);
+        return value != null ? value : Json.text(top, name);
+    }
+
+    private static long seed(String hex) throws MalformedInputException {
+        try {
+            return Long.parseUnsignedLong(hex, 16);
+        } catch (NumberFormatException e) {
+            throw new MalformedInputException("seed is not a hexadecimal number");
+        }
+    }
+
+    /** An address in the form {@code host:port}, with a literal host: there is no DNS to ask. */
+    public static InetSocketAddress address(String text) throws MalformedInputException {
+        int colon = text.lastIndexOf(':');
+        String host = text.substring(0, Math.max(0, colon));
+        String port = text.substring(colon + 1);
+        if (!host.matches("[0-9.]+|\\[[0-9A-Fa-f:.]+]") || !port.matches("[0-9]{1,5}")
+                || Integer.parseInt(port) > 65_535) {
+            throw new MalformedInputException("not an address: " + text);
+        }
+        return new InetSocketAddress(host, Integer.parseInt(port));
+    }
+}
--- a/src/main/java/shelffront/adapter/MalformedInputException.java
+++ b/src/main/java/shelffront/config/MalformedInputException.java
@@ -1,11 +1,11 @@
-package shelffront.adapter;
+package shelffront.config;
 
 /** Input that is not in the form of the wire; the message is one plain line. */
-final class MalformedInputException extends Exception {
+public final class MalformedInputException extends Exception {
 
     private static final long serialVersionUID = 1L;
 
-    MalformedInputException(String message) {
+    public MalformedInputException(String message) {
         super(message);
     }
 }
--- /dev/null
+++ b/src/main/java/shelffront/config/MemberList.java
@@ -0,0 +1,44 @@
+package shelffront.config;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import shelffront.Router.Availability;
+import shelffront.Router.Member;
+
+/** A list of database hosts in discovery's form: the module's members, and where each is to be reached. */
+public record MemberList(long revision, boolean complete, List<Member> members, Map<String, String> addresses) {
+
+    private static final Map<String, Availability> PHASES = Map.of("Ready", Availability.LIVE,
+            "Terminating", Availability.DRAINING, "Gone", Availability.GONE);
+
+    public static MemberList read(Map<?, ?> object) throws MalformedInputException {
+        List<Member> members = new ArrayList<>();
+        Map<String, String> addresses = new HashMap<>();
+        if (!(object.get("members") instanceof List<?> entries)) {
+            throw new MalformedInputException("members is not an array");
+        }
+        for (Object entry : entries) {
+            if (!(entry instanceof Map<?, ?> m)) {
+                throw new MalformedInputException("a member is not an object");
+            }
+            String id = Json.text(m, "id");
+            Availability phase = PHASES.get(Json.text(m, "phase"));
+            if (phase == null) {
+                throw new MalformedInputException("phase of " + id + " is not known");
+            }
+            if (m.get("host_port") instanceof String address) {
+                addresses.put(id, address);
+            } else if (phase != Availability.GONE) {
+                throw new MalformedInputException("host_port of " + id + " is not a text");
+            }
+            members.add(new Member(id, m.get("flavor") instanceof String kind ? kind : "",
+                    m.get("locality") instanceof String zone ? zone : "", (int) Json.number(m, "cell", 0),
+                    Json.number(m, "size", 1), (long) Json.number(m, "up_since_ms", 0) * 1000,
+                    "writer".equals(m.get("access")), phase));
+        }
+        return new MemberList((long) Json.number(object, "revision", 0), Boolean.TRUE.equals(object.get("complete")),
+                List.copyOf(members), Map.copyOf(addresses));
+    }
+}
--- a/src/main/java/shelffront/adapter/SettingsReader.java
+++ b/src/main/java/shelffront/config/SettingsReader.java
@@ -1,4 +1,4 @@
-package shelffront.adapter;
+package shelffront.config;
 
 import shelffront.Router.ClassSettings;
 import shelffront.Router.Effect;
@@ -15,7 +15,7 @@
 import java.util.Map;
 
 /** Translates the settings object of the wire; keys that are not known are ignored. */
-final class SettingsReader {
+public final class SettingsReader {
 
     private static final Map<String, Effect> EFFECTS =
             Map.of("repeatable", Effect.REPEATABLE, "by_key", Effect.KEYED, "once", Effect.ONCE);
@@ -39,11 +39,11 @@
     }
 
     /** Clock time from which the wire counts positions. */
-    static long zero(Map<?, ?> facts) throws MalformedInputException {
+    public static long zero(Map<?, ?> facts) throws MalformedInputException {
         return new SettingsReader("facts", facts).part("familyInfo").integer("zero", 0);
     }
 
-    static Settings read(Map<?, ?> facts) throws MalformedInputException {
+    public static Settings read(Map<?, ?> facts) throws MalformedInputException {
         SettingsReader top = new SettingsReader("facts", facts);
         SettingsReader family = top.part("familyInfo");
         SettingsReader limits = top.part("limits");
--- /dev/null
+++ b/src/main/java/shelffront/discovery/ChunkedLines.java
@@ -0,0 +1,132 @@
+package shelffront.discovery;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.Locale;
+import java.util.function.Consumer;
+import shelffront.config.MalformedInputException;
+
+/**
+ * Reads an HTTP/1.1 answer and gives the lines of its body, whether it is chunked, of a stated length or ends with
+ * the connection. Bytes may come in any pieces.
+ */
+final class ChunkedLines {
+
+    private static final int GREATEST_LINE = 256 * 1024;
+
+    private enum Part { STATUS, HEADER, CHUNK_SIZE, BODY, CHUNK_END, TRAILER, END }
+
+    private final Consumer<String> lines;
+    private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    private Part part = Part.STATUS;
+    private int status;
+    private boolean chunked;
+    private long left = Long.MAX_VALUE;
+
+    ChunkedLines(Consumer<String> lines) {
+        this.lines = lines;
+    }
+
+    /** The answer's status; 0 before it has come. */
+    int status() {
+        return status;
+    }
+
+    boolean ended() {
+        return part == Part.END;
+    }
+
+    /** The body's last line where no line end follows it. */
+    void finish() {
+        if (line.size() > 0 && part != Part.STATUS && part != Part.HEADER) {
+            lines.accept(line.toString(UTF_8));
+        }
+        line.reset();
+        part = Part.END;
+    }
+
+    void take(ByteBuffer in) throws MalformedInputException {
+        while (in.hasRemaining() && part != Part.END) {
+            byte b = in.get();
+            if (part == Part.BODY) {
+                left--;
+            }
+            if (b != '\n') {
+                line.write(b);
+                if (line.size() > GREATEST_LINE) {
+                    throw new MalformedInputException("a line is too long");
+                }
+            } else if (part == Part.BODY) {
+                lines.accept(line.toString(UTF_8));
+                line.reset();
+            } else {
+                String text = line.toString(ISO_8859_1).strip();
+                line.reset();
+                protocolLine(text);
+            }
+            if (part == Part.BODY && left == 0) {
+                bodyPartEnds();
+            }
+        }
+    }
+
+    /** A chunk may end inside a line: what there is of it is kept aside while the frame is read. */
+    private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
+
+    private void bodyPartEnds() {
+        if (chunked) {
+            kept.writeBytes(line.toByteArray());
+            line.reset();
+            part = Part.CHUNK_END;
+        } else {
+            finish();
+        }
+    }
+
+    private void protocolLine(String text) throws MalformedInputException {
+        switch (part) {
+            case STATUS -> {
+                if (!text.matches("HTTP/1\\.[01] [0-9]{3}.*")) {
+                    throw new MalformedInputException("not an HTTP answer");
+                }
+                status = Integer.parseInt(text.substring(9, 12));
+                part = Part.HEADER;
+            }
+            case HEADER -> header(text.toLowerCase(Locale.ROOT));
+            case CHUNK_SIZE -> {
+                left = size(text.split(";", 2)[0].strip(), 16);
+                part = left == 0 ? Part.TRAILER : Part.BODY;
+                line.writeBytes(kept.toByteArray());
+                kept.reset();
+                if (left == 0) {
+                    finish();
+                }
+            }
+            case CHUNK_END -> part = Part.CHUNK_SIZE;
+            default -> throw new MalformedInputException("a line out of place");
+        }
+    }
+
+    private void header(String text) throws MalformedInputException {
+        if (text.startsWith("transfer-encoding:") && text.endsWith("chunked")) {
+            chunked = true;
+        } else if (text.startsWith("content-length:")) {
+            left = size(text.substring(15).strip(), 10);
+        } else if (text.isEmpty()) {
+            part = chunked ? Part.CHUNK_SIZE : Part.BODY;
+            if (!chunked && left == 0) {
+                finish();
+            }
+        }
+    }
+
+    private static long size(String text, int radix) throws MalformedInputException {
+        if (!text.matches(radix == 16 ? "[0-9a-f]{1,7}|[0-9A-Fa-f]{1,7}" : "[0-9]{1,9}")) {
+            throw new MalformedInputException("not a length: " + text);
+        }
+        return Long.parseLong(text, radix);
+    }
+}
--- /dev/null
+++ b/src/main/java/shelffront/discovery/Discovery.java
@@ -0,0 +1,86 @@
+package shelffront.discovery;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import shelffront.config.MemberList;
+import shelffront.net.CloseReason;
+import shelffront.net.Counters;
+import shelffront.net.Network;
+
+/** Asks discovery for the list of database hosts: one standing watch, and fetches of the whole list. */
+public final class Discovery {
+
+    /** Takes what discovery tells. */
+    public interface Listener {
+
+        void heard(MemberList list);
+
+        /** A watch or a fetch has failed; the list stands. */
+        void failed();
+    }
+
+    private final Network network;
+    private final InetSocketAddress address;
+    private final String host;
+    private final Listener listener;
+    private long revision;
+    private DiscoveryCall watch;
+
+    public Discovery(Network network, InetSocketAddress address, long revision, Listener listener) {
+        this.network = network;
+        this.address = address;
+        this.host = address.getHostString() + ":" + address.getPort();
+        this.revision = revision;
+        this.listener = listener;
+    }
+
+    /** Starts the watch anew, or ends it. */
+    public void watch(boolean on) {
+        close(CloseReason.REPLACED);
+        if (on) {
+            watch = call("/catalog/members?watch=1&from=" + revision, true);
+        }
+    }
+
+    public void fetch() {
+        call("/catalog/members", false);
+    }
+
+    public void close(CloseReason reason) {
+        DiscoveryCall old = watch;
+        watch = null;
+        if (old != null) {
+            old.close(reason);
+        }
+    }
+
+    private DiscoveryCall call(String path, boolean standing) {
+        try {
+            return new DiscoveryCall(network, network.newChannel(), address, "GET " + path
+                    + " HTTP/1.1\r\nHost: " + host + "\r\nAccept: application/json\r\n\r\n", standing, this);
+        } catch (IOException e) {
+            network.log().println("no socket for discovery: " + e.getMessage());
+            network.loop().post(this::failed);
+            return null;
+        }
+    }
+
+    void heard(MemberList list) {
+        revision = Math.max(revision, list.revision());
+        network.counters().add(Counters.Name.LISTS_HEARD);
+        listener.heard(list);
+    }
+
+    /** A watch counts as failed whatever ended it; a fetch only where no list came. */
+    void ended(DiscoveryCall call, boolean standing, boolean listCame) {
+        if (standing ? call == watch : !listCame) {
+            watch = standing ? null : watch;
+            failed();
+        }
+    }
+
+    private void failed() {
+        network.counters().add(Counters.Name.DISCOVERY_FAILURES);
+        listener.failed();
+    }
+}
--- /dev/null
+++ b/src/main/java/shelffront/gateway/Gateway.java
@@ -0,0 +1,239 @@
+package shelffront.gateway;
+
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import shelffront.Decide;
+import shelffront.Router;
+import shelffront.Router.ListKind;
+import shelffront.Router.Outcome;
+import shelffront.Router.Request;
+import shelffront.Router.Status;
+import shelffront.client.Clients;
+import shelffront.config.GatewayConfig;
+import shelffront.config.MalformedInputException;
+import shelffront.config.MemberList;
+import shelffront.discovery.Discovery;
+import shelffront.net.CloseReason;
+import shelffront.net.Counters;
+import shelffront.net.Network;
+import shelffront.net.TurnLoop;
+import shelffront.server.Reply;
+import shelffront.server.Servers;
+
+/** Joins the client side, the server side and discovery to the decision module, and carries out what it asks. */
+public final class Gateway implements Router.Actions, Clients.Taker, Servers.Listener, Discovery.Listener {
+
+    /** Connections arrive for 0.4 s after the order to stop; those that stay idle longer are closed. */
+    private static final long LAST_ARRIVALS = 500_000;
+    private static final long DRAIN_CHECK = 20_000;
+    private static final long BUSY_WAIT = 200_000;
+    /** Of the descriptors: half for clients, three eighths for hosts, the rest for files, discovery and the JVM. */
+    private static final double CLIENT_SHARE = 0.5;
+    private static final double HOST_SHARE = 0.375;
+
+    private final Network network;
+    private final TurnLoop loop;
+    private final GatewayConfig config;
+    private final Router router;
+    private final Clients clients;
+    private final Servers servers;
+    private final Discovery discovery;
+    private final Map<String, Exchange> exchanges = new HashMap<>();
+
+    public Gateway(Network network, GatewayConfig config) throws IOException {
+        this.network = network;
+        this.loop = network.loop();
+        this.config = config;
+        router = new Decide(this);
+        servers = new Servers(network, config.settings().limits(), (int) (config.sockets() * HOST_SHARE), this);
+        discovery = new Discovery(network, config.discovery(), config.known().revision(), this);
+        clients = new Clients(network, config.listen(), (int) (config.sockets() * CLIENT_SHARE),
+                config.settings().classes(), this);
+    }
+
+    public SocketAddress address() throws IOException {
+        return clients.address();
+    }
+
+    /** Starts the module with the list as this gateway last had it, then takes clients in. */
+    public void start() throws MalformedInputException {
+        servers.listed(config.known());
+        router.onStart(loop.now(), config.seed(), config.settings());
+        router.onMembers(loop.now(), ListKind.REMEMBERED, config.known().revision(), config.known().members());
+        clients.accept();
+    }
+
+    /** Finishes what was taken and what still comes in, then stops the loop. */
+    public void drain() {
+        network.log().println("stopping");
+        loop.at(loop.now() + LAST_ARRIVALS, () -> {
+            clients.drain();
+            stopWhenDone();
+        });
+    }
+
+    private void stopWhenDone() {
+        if (!clients.isEmpty() || !exchanges.isEmpty()) {
+            loop.at(loop.now() + DRAIN_CHECK, this::stopWhenDone);
+            return;
+        }
+        clients.close();
+        discovery.close(CloseReason.DRAINED);
+        servers.closeAll(CloseReason.DRAINED);
+        network.log().println(network.counters());
+        loop.stop();
+    }
+
+    // ---- From the client side ---------------------------------------------------------------------------------
+
+    @Override
+    public void take(Exchange exchange, String session, int group, boolean repeat) {
+        if (exchanges.size() >= config.openCap() || exchanges.containsKey(exchange.id)) {
+            exchange.asker.refused(BUSY_WAIT);
+            return;
+        }
+        exchanges.put(exchange.id, exchange);
+        router.onRequest(loop.now(), new Request(exchange.id, exchange.classIndex, session, group,
+                exchange.deadline - loop.now(), 0, repeat));
+    }
+
+    @Override
+    public void left(Exchange exchange) {
+        if (exchanges.get(exchange.id) == exchange && !exchange.answered) {
+            exchange.answered = true;
+            router.onClientGone(loop.now(), exchange.id);
+            forget(exchange);
+        }
+    }
+
+    // ---- From the server side ---------------------------------------------------------------------------------
+
+    @Override
+    public void ended(Attempt attempt, Reply reply) {
+        Exchange exchange = attempt.exchange;
+        attempt.out = false;
+        network.counters().add(Counters.Name.valueOf("ATTEMPTS_" + reply.status()));
+        if (reply.status() == Status.OK && !exchange.answered) {
+            exchange.answered = true;
+            exchange.asker.served(reply.messages());
+        }
+        router.onOutcome(loop.now(), new Outcome(exchange.id, attempt.number, attempt.member, reply.status(),
+                exchange.answered, loop.now() - attempt.startedAt, reply.role(), reply.position(), reply.load()));
+        forget(exchange);
+    }
+
+    @Override
+    public void probed(String member, Reply reply, long took) {
+        if (reply.status() != Status.OK) {
+            network.counters().add(Counters.Name.PROBES_FAILED);
+        }
+        router.onProbeResult(loop.now(), member, reply.status(), took, reply.load());
+    }
+
+    /** A request is kept until its last attempt has ended: the module is owed every outcome. */
+    private void forget(Exchange exchange) {
+        if (exchange.answered && exchange.attempts.stream().noneMatch(a -> a.out)) {
+            exchanges.remove(exchange.id, exchange);
+        }
+    }
+
+    // ---- From discovery ---------------------------------------------------------------------------------------
+
+    @Override
+    public void heard(MemberList list) {
+        try {
+            servers.listed(list);
+        } catch (MalformedInputException e) {
+            network.log().println("list " + list.revision() + ": " + e.getMessage());
+            return;
+        }
+        router.onMembers(loop.now(), list.complete() ? ListKind.ALL : ListKind.CHANGES, list.revision(),
+                list.members());
+    }
+
+    @Override
+    public void failed() {
+        router.onMembers(loop.now(), ListKind.FAILED, 0, java.util.List.of());
+    }
+
+    // ---- What the module asks for -----------------------------------------------------------------------------
+
+    @Override
+    public void send(String requestId, String member, long timeout) {
+        Exchange exchange = exchanges.get(requestId);
+        Attempt attempt = new Attempt(exchange, member, loop.now());
+        exchange.attempts.add(attempt);
+        if (exchange.answered || loop.now() >= exchange.deadline) {
+            loop.post(() -> ended(attempt, Reply.of(Status.NOT_SENT)));
+            return;
+        }
+        network.counters().add(Counters.Name.ATTEMPTS_SENT);
+        servers.start(attempt);
+    }
+
+    @Override
+    public void cancel(String requestId, int attempt) {
+        Exchange exchange = exchanges.get(requestId);
+        if (exchange != null && attempt < exchange.attempts.size()) {
+            servers.cancel(exchange.attempts.get(attempt));
+        }
+    }
+
+    @Override
+    public void reject(String requestId, long retryAfter) {
+        Exchange exchange = exchanges.get(requestId);
+        if (exchange != null && !exchange.answered) {
+            exchange.answered = true;
+            exchange.asker.refused(retryAfter);
+            forget(exchange);
+        }
+    }
+
+    @Override
+    public void fail(String requestId) {
+        Exchange exchange = exchanges.get(requestId);
+        if (exchange != null && !exchange.answered) {
+            exchange.answered = true;
+            exchange.asker.failed();
+            forget(exchange);
+        }
+    }
+
+    @Override
+    public void probe(String member) {
+        servers.probe(member);
+    }
+
+    @Override
+    public void setTimer(String name, long at) {
+        loop.at(at, () -> router.onTimer(loop.now(), name));
+    }
+
+    @Override
+    public void subscribe(boolean on) {
+        discovery.watch(on);
+    }
+
+    @Override
+    public void fetchList() {
+        discovery.fetch();
+    }
+
+    /** Gateways of this kind can't reach each other; the settings say so and the module never asks. */
+    @Override
+    public void tellPeers(int peer, byte[] payload) {
+        throw new UnsupportedOperationException("gateways have no way to talk to each other");
+    }
+
+    @Override
+    public void closeIdle(String member) {
+        servers.closeIdle(member);
+    }
+
+    @Override
+    public void log(String text) {
+        network.log().println("module " + text);
+    }
+}
--- /dev/null
+++ b/src/main/java/shelffront/net/Connection.java
@@ -0,0 +1,250 @@
+package shelffront.net;
+
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.nio.channels.CompletionHandler;
+import java.util.ArrayDeque;
+import java.util.function.BiConsumer;
+
+/**
+ * One socket with its buffers, whatever is spoken on it. All methods run on the turn thread. A connection ends
+ * exactly once, by {@link #close}, which leaves its line in the log.
+ */
+public abstract class Connection {
+
+    private static final int FIRST_BUFFER = 4096;
+    private static final long STALL = 10_000_000;  // A peer that takes nothing for so long is given up.
+
+    protected final Network network;
+    private final String kind;
+    private final int greatestBuffer;
+    private final AsynchronousSocketChannel channel;
+    private final ArrayDeque<byte[]> output = new ArrayDeque<>();
+    private ByteBuffer input = ByteBuffer.allocate(FIRST_BUFFER);
+    private ByteBuffer writing;
+    private TurnLoop.Deadline stall;
+    private boolean connected;
+    private boolean reading;
+    private CloseReason peerEnded;
+    private CloseReason closeWhenWritten;
+    private boolean closed;
+
+    protected Connection(Network network, String kind, AsynchronousSocketChannel channel, int greatestBuffer) {
+        this.network = network;
+        this.kind = kind;
+        this.channel = channel;
+        this.greatestBuffer = greatestBuffer;
+    }
+
+    /** What has arrived and was not consumed; whatever is left in it is offered again with what follows. */
+    protected abstract void received(ByteBuffer bytes);
+
+    /** All output was handed to the socket. */
+    protected void written() { }
+
+    /** Whether to go on reading; a connection that says no calls {@link #readMore} later. */
+    protected boolean wantsInput() {
+        return true;
+    }
+
+    /** Called once, after the socket was closed. */
+    protected abstract void ended(CloseReason reason);
+
+    protected final long now() {
+        return network.loop().now();
+    }
+
+    public final boolean isClosed() {
+        return closed;
+    }
+
+    /** Nothing waits to be written. */
+    protected final boolean drained() {
+        return writing == null && output.isEmpty();
+    }
+
+    protected final void connect(SocketAddress address) {
+        channel.connect(address, null, handler((none, failure) -> {
+            if (failure != null) {
+                close(CloseReason.CONNECT_FAILED);
+            } else {
+                start();
+            }
+        }));
+    }
+
+    /** Begins reading on a channel that is connected. */
+    protected final void start() {
+        connected = true;
+        try {
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        } catch (IOException e) {
+            close(CloseReason.PEER_RESET);
+            return;
+        }
+        network.loop().flushLater(this);
+        readMore();
+    }
+
+    protected final void readMore() {
+        if (reading || closed || !connected || peerEnded != null || closeWhenWritten != null || !wantsInput()) {
+            return;
+        }
+        if (!input.hasRemaining() && !grow()) {
+            return;
+        }
+        reading = true;
+        channel.read(input, null, handler(this::onRead));
+    }
+
+    private void onRead(Integer count, Throwable failure) {
+        if (failure != null || count < 0) {
+            reading = false;
+            // Whether a request was written whole is known only when the write that is out has ended: a peer's
+            // end may be seen before it, and taken alone would pass for "never ran".
+            peerEnded = failure != null ? CloseReason.PEER_RESET : CloseReason.PEER_CLOSED;
+            if (writing == null) {
+                close(peerEnded);
+            }
+            return;
+        }
+        network.counters().add(Counters.Name.BYTES_IN, count);
+        // Still marked as reading: a read begun from within would fill the buffer while it is being parsed.
+        offer();
+        reading = false;
+        readMore();
+    }
+
+    private void offer() {
+        input.flip();
+        received(input);
+        input.compact();
+        if (input.position() == 0 && input.capacity() > FIRST_BUFFER) {
+            network.budget().giveBack(input.capacity() - FIRST_BUFFER);
+            input = ByteBuffer.allocate(FIRST_BUFFER);
+        }
+    }
+
+    /** A message larger than the buffer: more room within this connection's bound and that of all together. */
+    private boolean grow() {
+        int wanted = Math.min(greatestBuffer, input.capacity() * 4);
+        if (wanted == input.capacity()) {
+            refuse(CloseReason.TOO_LARGE);
+            return false;
+        }
+        if (!network.budget().take(wanted - input.capacity())) {
+            refuse(CloseReason.NO_MEMORY);
+            return false;
+        }
+        ByteBuffer larger = ByteBuffer.allocate(wanted);
+        larger.put(input.flip());
+        input = larger;
+        return true;
+    }
+
+    /** Input that can't be taken; a protocol may tell its peer before it closes. */
+    protected void refuse(CloseReason reason) {
+        close(reason);
+    }
+
+    protected final void write(byte[] bytes) {
+        if (!closed && closeWhenWritten == null) {
+            output.add(bytes);
+            network.loop().flushLater(this);
+        }
+    }
+
+    /** Writes what is waiting, then closes; nothing is read or written after. */
+    protected final void closeWhenWritten(CloseReason reason) {
+        closeWhenWritten = closeWhenWritten == null ? reason : closeWhenWritten;
+        if (drained()) {
+            close(closeWhenWritten);
+        }
+    }
+
+    final void flush() {
+        if (closed || !connected || writing != null || output.isEmpty()) {
+            return;
+        }
+        int size = output.stream().mapToInt(b -> b.length).sum();
+        writing = ByteBuffer.allocate(size);
+        output.forEach(writing::put);
+        output.clear();
+        writing.flip();
+        network.counters().add(Counters.Name.BYTES_OUT, size);
+        stall = network.loop().at(now() + STALL, () -> close(CloseReason.WRITE_STALLED));
+        channel.write(writing, null, handler(this::onWritten));
+    }
+
+    private void onWritten(Integer count, Throwable failure) {
+        if (failure != null) {
+            close(CloseReason.PEER_RESET);
+            return;
+        }
+        if (writing.hasRemaining()) {
+            channel.write(writing, null, handler(this::onWritten));
+            return;
+        }
+        stall.cancel();
+        writing = null;
+        if (output.isEmpty()) {
+            written();
+        }
+        if (closed) {
+            return;
+        }
+        network.loop().flushLater(this);
+        if (peerEnded != null) {
+            close(peerEnded);
+        } else if (closeWhenWritten != null && output.isEmpty()) {
+            close(closeWhenWritten);
+        }
+    }
+
+    public final void close(CloseReason reason) {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        if (stall != null) {
+            stall.cancel();
+        }
+        network.budget().giveBack(input.capacity() - FIRST_BUFFER);
+        try {
+            channel.close();
+        } catch (IOException e) {
+            network.log().println("close " + kind + " failed: " + e.getMessage());
+        }
+        network.log().println("end " + kind + " " + describe() + " reason=" + reason.code());
+        ended(reason);
+    }
+
+    /** What the log line says of this connection beside the reason. */
+    protected abstract String describe();
+
+    /** Passes a result to the turn thread; one that comes after the end is dropped there. */
+    private <T> CompletionHandler<T, Void> handler(BiConsumer<T, Throwable> then) {
+        return new CompletionHandler<>() {
+            @Override
+            public void completed(T result, Void none) {
+                pass(result, null);
+            }
+
+            @Override
+            public void failed(Throwable failure, Void none) {
+                pass(null, failure);
+            }
+
+            private void pass(T result, Throwable failure) {
+                network.loop().post(() -> {
+                    if (!closed) {
+                        then.accept(result, failure);
+                    }
+                });
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/shelffront/net/Counters.java
@@ -0,0 +1,33 @@
+package shelffront.net;
+
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.stream.Collectors;
+
+/** What the program has taken in, sent and answered; owned by the turn thread, printed at exit. */
+public final class Counters {
+
+    public enum Name {
+        CLIENTS_ACCEPTED, BYTES_IN, BYTES_OUT, REQUESTS_TAKEN, REQUESTS_INVALID, REQUESTS_LEFT, ATTEMPTS_SENT,
+        ATTEMPTS_OK, ATTEMPTS_ERROR, ATTEMPTS_FULL, ATTEMPTS_TIMEOUT, ATTEMPTS_CONNECT_FAILED, ATTEMPTS_RESET,
+        ATTEMPTS_CANCELLED, ATTEMPTS_NOT_SENT, ATTEMPTS_MISS, PROBES_SENT, PROBES_FAILED, HOST_CONNECTIONS_OPENED,
+        ANSWERS_SERVED, ANSWERS_REFUSED, ANSWERS_FAILED, LISTS_HEARD, DISCOVERY_FAILURES, FAULTS
+    }
+
+    private final Map<Name, Long> values = new EnumMap<>(Name.class);
+
+    public void add(Name name) {
+        add(name, 1);
+    }
+
+    public void add(Name name, long amount) {
+        values.merge(name, amount, Long::sum);
+    }
+
+    @Override
+    public String toString() {
+        return values.entrySet().stream().map(e -> e.getKey().name().toLowerCase(Locale.ROOT) + "=" + e.getValue())
+                .collect(Collectors.joining(" ", "counters ", ""));
+    }
+}
--- /dev/null
+++ b/src/main/java/shelffront/net/TurnLoop.java
@@ -0,0 +1,114 @@
+package shelffront.net;
+
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * The one thread that owns all state. Completion handlers only {@link #post} what they got; each turn takes what
+ * was posted, sweeps the deadlines that are due, then flushes the connections that were written to.
+ */
+public final class TurnLoop {
+
+    /** A task with its time; cancelled by whoever set it when it is no longer needed. */
+    public final class Deadline {
+
+        private final long at;
+        private final long order = deadlineOrder++;
+        private final Runnable task;
+
+        private Deadline(long at, Runnable task) {
+            this.at = at;
+            this.task = task;
+        }
+
+        public void cancel() {
+            deadlines.remove(this);
+        }
+    }
+
+    /** Results taken before deadlines get their turn, so that a flood of input can't starve them. */
+    private static final int RESULTS_A_TURN = 256;
+
+    private final LinkedBlockingQueue<Runnable> results = new LinkedBlockingQueue<>();
+    private final TreeSet<Deadline> deadlines = new TreeSet<>(
+            Comparator.<Deadline>comparingLong(d -> d.at).thenComparingLong(d -> d.order));
+    private final Set<Connection> toFlush = new LinkedHashSet<>();
+    private final LongSupplier clock;
+    private final Counters counters;
+    private long now;
+    private long deadlineOrder;
+    private boolean stopped;
+
+    /** The clock gives Unix microseconds; it may step back, the time seen here never does. */
+    public TurnLoop(LongSupplier clock, Counters counters) {
+        this.clock = clock;
+        this.counters = counters;
+        now = clock.getAsLong();
+    }
+
+    /** Hands a result to the turn thread; the only method that other threads may call. */
+    public void post(Runnable result) {
+        results.add(result);
+    }
+
+    public long now() {
+        return now;
+    }
+
+    public Deadline at(long time, Runnable task) {
+        Deadline deadline = new Deadline(time, task);
+        deadlines.add(deadline);
+        return deadline;
+    }
+
+    void flushLater(Connection connection) {
+        toFlush.add(connection);
+    }
+
+    public void stop() {
+        stopped = true;
+    }
+
+    public void run() throws InterruptedException {
+        while (!stopped) {
+            Runnable result = results.poll(untilNextDeadline(), TimeUnit.MICROSECONDS);
+            tick();
+            for (int i = 0; result != null; i++) {
+                guarded(result);
+                tick();
+                result = i < RESULTS_A_TURN ? results.poll() : null;
+            }
+            while (!deadlines.isEmpty() && deadlines.first().at <= now) {
+                guarded(deadlines.pollFirst().task);
+            }
+            while (!toFlush.isEmpty()) {
+                Connection connection = toFlush.iterator().next();
+                toFlush.remove(connection);
+                guarded(connection::flush);
+            }
+        }
+    }
+
+    private long untilNextDeadline() {
+        return deadlines.isEmpty() ? Long.MAX_VALUE : Math.max(0, deadlines.first().at - now);
+    }
+
+    private void tick() {
+        now = Math.max(now, clock.getAsLong());
+    }
+
+    /** Guards against one faulty turn ending the program and with it every request that it holds. */
+    private void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException e) {
+            counters.add(Counters.Name.FAULTS);
+            e.printStackTrace();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/shelffront/pg/Message.java
@@ -0,0 +1,139 @@
+package shelffront.pg;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+
+/** A message of PostgreSQL's wire protocol, version 3: its type and the bytes after the length. */
+public record Message(char type, byte[] body) {
+
+    /** Holds the text form of a value of 64 KiB and the statement round it. */
+    public static final int GREATEST = 192 * 1024;
+
+    /** The SQLSTATE for what is over a limit of this program. */
+    public static final String TOO_LARGE = "54000";
+
+    public static final int PROTOCOL_3 = 3;
+    public static final int CANCEL_REQUEST = 80877102;
+    public static final int SSL_REQUEST = 80877103;
+    public static final int GSS_REQUEST = 80877104;
+
+    private static final int GREATEST_STARTUP = 10_000;
+
+    /** Takes the next whole message, or null where more bytes are needed. */
+    public static Message next(ByteBuffer in) throws ProtocolException {
+        if (in.remaining() < 5) {
+            return null;
+        }
+        int length = in.getInt(in.position() + 1);
+        if (length < 4 || length >= GREATEST) {
+            throw new ProtocolException(length < 4 ? "08P01" : TOO_LARGE, "message length " + length);
+        }
+        if (in.remaining() < 1 + length) {
+            return null;
+        }
+        char type = (char) (in.get() & 0xff);
+        return new Message(type, take(in, length));
+    }
+
+    /** Takes the first message of a connection, which has no type: a version or request code, then its body. */
+    public static Message nextStartup(ByteBuffer in) throws ProtocolException {
+        if (in.remaining() < 4) {
+            return null;
+        }
+        int length = in.getInt(in.position());
+        if (length < 8 || length > GREATEST_STARTUP) {
+            throw new ProtocolException("08P01", "startup length " + length);
+        }
+        return in.remaining() < length ? null : new Message('\0', take(in, length));
+    }
+
+    private static byte[] take(ByteBuffer in, int length) {
+        in.getInt();
+        byte[] body = new byte[length - 4];
+        in.get(body);
+        return body;
+    }
+
+    /** The message as it stands on the wire. */
+    public byte[] bytes() {
+        return ByteBuffer.allocate(5 + body.length).put((byte) type).putInt(4 + body.length).put(body).array();
+    }
+
+    /** The body's leading 32 bits: a startup's code, an authentication's kind. */
+    public int code() {
+        return body.length < 4 ? -1 : ByteBuffer.wrap(body).getInt();
+    }
+
+    /** The zero-terminated text at a place of the body; what is not terminated ends with the body. */
+    public String text(int from) {
+        int end = from;
+        while (end < body.length && body[end] != 0) {
+            end++;
+        }
+        return new String(body, from, end - from, ISO_8859_1);
+    }
+
+    /** A field of an ErrorResponse; null where it is absent. */
+    public String errorField(char field) {
+        for (int at = 0; at < body.length && body[at] != 0;) {
+            String value = text(at + 1);
+            if (body[at] == field) {
+                return value;
+            }
+            at += 2 + value.length();
+        }
+        return null;
+    }
+
+    /** The only column of a DataRow as text; null where there is no such value. */
+    public String onlyColumn() {
+        if (body.length < 6) {
+            return null;
+        }
+        int length = ByteBuffer.wrap(body).getInt(2);
+        return length < 0 || length > body.length - 6 ? null : new String(body, 6, length, ISO_8859_1);
+    }
+
+    public static byte[] startup(String user, String database) {
+        byte[] words = ("user\0" + user + "\0database\0" + database + "\0\0").getBytes(UTF_8);
+        return ByteBuffer.allocate(8 + words.length).putInt(8 + words.length).putInt(PROTOCOL_3 << 16).put(words)
+                .array();
+    }
+
+    public static byte[] query(byte[] statement) {
+        byte[] body = new byte[statement.length + 1];
+        System.arraycopy(statement, 0, body, 0, statement.length);
+        return new Message('Q', body).bytes();
+    }
+
+    public static byte[] authenticationOk() {
+        return new Message('R', new byte[4]).bytes();
+    }
+
+    public static byte[] parameterStatus(String name, String value) {
+        return new Message('S', (name + '\0' + value + '\0').getBytes(UTF_8)).bytes();
+    }
+
+    public static byte[] readyForQuery() {
+        return new Message('Z', new byte[] {'I'}).bytes();
+    }
+
+    public static byte[] emptyQueryResponse() {
+        return new Message('I', new byte[0]).bytes();
+    }
+
+    /** An ErrorResponse; the detail may be null. */
+    public static byte[] error(boolean fatal, String code, String text, String detail) {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        String severity = fatal ? "FATAL" : "ERROR";
+        body.writeBytes(("S" + severity + "\0V" + severity + "\0C" + code + "\0M" + text + "\0").getBytes(UTF_8));
+        if (detail != null) {
+            body.writeBytes(("D" + detail + "\0").getBytes(UTF_8));
+        }
+        body.write(0);
+        return new Message('E', body.toByteArray()).bytes();
+    }
+}
--- /dev/null
+++ b/src/main/java/shelffront/server/Servers.java
@@ -0,0 +1,246 @@
+package shelffront.server;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.AsynchronousSocketChannel;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.HashMap;
+import shelffront.Router.Availability;
+import shelffront.Router.Limits;
+import shelffront.Router.Member;
+import shelffront.Router.Status;
+import shelffront.config.GatewayConfig;
+import shelffront.config.MalformedInputException;
+import shelffront.config.MemberList;
+import shelffront.gateway.Attempt;
+import shelffront.net.CloseReason;
+import shelffront.net.Counters;
+import shelffront.net.Network;
+import shelffront.pg.Message;
+
+/** The server side: a pool of connections to each database host, the attempts and the probes. */
+public final class Servers {
+
+    /** Takes what comes back; called once for each attempt and probe, never from within the call that began it. */
+    public interface Listener {
+
+        void ended(Attempt attempt, Reply reply);
+
+        void probed(String member, Reply reply, long took);
+    }
+
+    private static final byte[] PROBE = Message.query("SHOW usage".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+
+    private final Network network;
+    private final Limits limits;
+    private final int mostConnections;
+    private final Listener listener;
+    private final Map<String, Host> hosts = new TreeMap<>();
+    private final Map<Attempt, Errand> errands = new HashMap<>();
+    private int connections;
+
+    public Servers(Network network, Limits limits, int mostConnections, Listener listener) {
+        this.network = network;
+        this.limits = limits;
+        this.mostConnections = mostConnections;
+        this.listener = listener;
+    }
+
+    /** Takes the addresses of a list; connections to hosts that left it, or moved, are given back. */
+    public void listed(MemberList list) throws MalformedInputException {
+        for (Member m : list.members()) {
+            if (m.availability() == Availability.GONE) {
+                leave(m.id());
+                continue;
+            }
+            InetSocketAddress address = GatewayConfig.address(list.addresses().get(m.id()));
+            Host host = hosts.computeIfAbsent(m.id(), Host::new);
+            if (host.address != null && !host.address.equals(address)) {
+                closeIdle(host, CloseReason.LEFT_LIST);
+            }
+            host.address = address;
+        }
+        if (list.complete()) {
+            List<String> named = list.members().stream().map(Member::id).toList();
+            List.copyOf(hosts.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::leave);
+        }
+    }
+
+    private void leave(String member) {
+        Host host = hosts.remove(member);
+        if (host != null) {
+            closeIdle(host, CloseReason.LEFT_LIST);
+        }
+    }
+
+    public void start(Attempt attempt) {
+        Host host = hosts.get(attempt.member);
+        Errand errand = new Errand(host, attempt, network.loop().now());
+        errands.put(attempt, errand);
+        errand.endBy = network.loop().at(attempt.exchange.deadline, () -> giveUp(errand, Status.TIMEOUT));
+        begin(errand);
+    }
+
+    public void probe(String member) {
+        Errand errand = new Errand(hosts.get(member), null, network.loop().now());
+        network.counters().add(Counters.Name.PROBES_SENT);
+        errand.endBy = network.loop().at(network.loop().now() + limits.connectTimeout(),
+                () -> giveUp(errand, Status.TIMEOUT));
+        begin(errand);
+    }
+
+    /** Calls the attempt off; its outcome follows unless it is over already. */
+    public void cancel(Attempt attempt) {
+        Errand errand = errands.get(attempt);
+        if (errand != null) {
+            abandon(errand, CloseReason.CANCELLED);
+            network.loop().post(() -> finish(errand, Reply.of(Status.CANCELLED)));
+        }
+    }
+
+    public void closeIdle(String member) {
+        if (hosts.containsKey(member)) {
+            closeIdle(hosts.get(member), CloseReason.GIVEN_BACK);
+        }
+    }
+
+    public void closeAll(CloseReason reason) {
+        hosts.values().forEach(h -> List.copyOf(h.connections).forEach(c -> c.close(reason)));
+    }
+
+    private void closeIdle(Host host, CloseReason reason) {
+        List.copyOf(host.idle).forEach(c -> c.close(reason));
+    }
+
+    private void begin(Errand errand) {
+        Host host = errand.host;
+        if (host == null) {
+            network.loop().post(() -> finish(errand, Reply.of(Status.CONNECT_FAILED)));
+            return;
+        }
+        HostConnection connection = host.idle.pollLast();
+        if (connection != null) {
+            carry(connection, errand);
+            return;
+        }
+        errand.connectBy = network.loop().at(network.loop().now() + limits.connectTimeout(),
+                () -> giveUp(errand, Status.CONNECT_FAILED));
+        host.waiting.add(errand);
+        if (host.opening < host.waiting.size()) {
+            open(host);
+        }
+    }
+
+    /** At the bound for sockets the errand waits for a connection of its host to come free. */
+    private void open(Host host) {
+        if (connections >= mostConnections && !evict()) {
+            return;
+        }
+        AsynchronousSocketChannel channel;
+        try {
+            channel = network.newChannel();
+        } catch (IOException e) {
+            network.log().println("no socket for " + host.id + ": " + e.getMessage());
+            return;
+        }
+        connections++;
+        host.opening++;
+        network.counters().add(Counters.Name.HOST_CONNECTIONS_OPENED);
+        host.connections.add(new HostConnection(network, channel, host, this,
+                network.loop().now() + limits.connectTimeout()));
+    }
+
+    private boolean evict() {
+        for (Host host : hosts.values()) {
+            if (!host.idle.isEmpty()) {
+                host.idle.peekFirst().close(CloseReason.EVICTED);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void opened(HostConnection connection) {
+        connection.host.opening--;
+        freed(connection);
+    }
+
+    /** The connection carries nothing now: it takes the next errand or idles, for less than hosts allow. */
+    void freed(HostConnection connection) {
+        Host host = connection.host;
+        if (connection.isClosed()) {
+            return;
+        }
+        Errand next = host.waiting.poll();
+        if (next != null) {
+            carry(connection, next);
+        } else if (hosts.get(host.id) != host) {
+            connection.close(CloseReason.LEFT_LIST);
+        } else {
+            host.idle.addLast(connection);
+            connection.idleUntil(network.loop().now() + limits.connectionIdle() * 4 / 5);
+        }
+    }
+
+    private void carry(HostConnection connection, Errand errand) {
+        if (errand.connectBy != null) {
+            errand.connectBy.cancel();
+        }
+        errand.on = connection;
+        if (errand.attempt == null) {
+            connection.begin(errand, PROBE);
+            return;
+        }
+        long left = errand.attempt.exchange.deadline - network.loop().now();
+        connection.begin(errand, Message.query(errand.attempt.exchange.statement.withWait(Math.max(1, left / 1000))));
+    }
+
+    /** A connection that ends while it opens takes the errand that waited longest with it. */
+    void ended(HostConnection connection) {
+        Host host = connection.host;
+        connections--;
+        host.connections.remove(connection);
+        host.idle.remove(connection);
+        if (!connection.ready()) {
+            host.opening--;
+            Errand first = host.waiting.poll();
+            if (first != null) {
+                network.loop().post(() -> finish(first, Reply.of(Status.CONNECT_FAILED)));
+            }
+        }
+    }
+
+    private void giveUp(Errand errand, Status status) {
+        abandon(errand, CloseReason.TIMED_OUT);
+        finish(errand, Reply.of(status));
+    }
+
+    private void abandon(Errand errand, CloseReason reason) {
+        if (errand.on != null) {
+            errand.on.abandon(reason);
+        } else if (errand.host != null) {
+            errand.host.waiting.remove(errand);
+        }
+    }
+
+    void finish(Errand errand, Reply reply) {
+        if (errand.over) {
+            return;
+        }
+        errand.over = true;
+        errand.on = null;
+        errand.endBy.cancel();
+        if (errand.connectBy != null) {
+            errand.connectBy.cancel();
+        }
+        if (errand.attempt != null) {
+            errands.remove(errand.attempt);
+            listener.ended(errand.attempt, reply);
+        } else {
+            listener.probed(errand.host == null ? "" : errand.host.id, reply,
+                    network.loop().now() - errand.startedAt);
+        }
+    }
+}
--- a/src/test/java/shelffront/adapter/AdapterIT.java
+++ b/src/test/java/shelffront/adapter/AdapterIT.java
@@ -94,10 +94,10 @@
 
     @Test
     void otherArgumentsPrintTheUsage() throws Exception {
-        for (String[] arguments : List.of(new String[] {}, new String[] {"serve"}, new String[] {"benchlink", "x"})) {
+        for (String[] arguments : List.of(new String[] {}, new String[] {"adapter"}, new String[] {"benchlink", "x"})) {
             Result r = run("", arguments);
             assertEquals(2, r.code);
-            assertEquals(List.of("usage: java -jar shelffront.jar benchlink"), r.err);
+            assertEquals(List.of("usage: java -jar shelffront.jar serve|benchlink"), r.err);
         }
     }
 }
