Play recorded byte exchanges against the gateway; bound answers in memory

Read, not measured: a host connection kept the room of its greatest answer and client output was outside the memory budget, together more than the heap in the worst case; both now count in Budget, and a served answer without room fails.

--- a/src/main/java/shelffront/Main.java
+++ b/src/main/java/shelffront/Main.java
@@ -21,7 +21,7 @@
 /** The commands: {@code serve} runs a gateway, {@code benchlink} speaks the simulator's wire. */
 public final class Main {
 
-    private static final long BUFFER_BYTES = 24L << 20;
+    private static final long BUFFER_BYTES = 32L << 20;
     private static final long STOP_SECONDS = 30;
 
     private Main() { }
--- a/src/main/java/shelffront/adapter/Wire.java
+++ b/src/main/java/shelffront/adapter/Wire.java
@@ -90,7 +90,8 @@
             }
         } catch (JsonProcessingException e) {
             int at = e.getLocation() == null ? line : e.getLocation().getLineNr();
-            throw new MalformedInputException("line " + at + ": " + e.getOriginalMessage().lines().findFirst().orElse(""));
+            String text = e.getOriginalMessage().lines().findFirst().orElse("");
+            throw new MalformedInputException("line " + at + ": " + text);
         } catch (MalformedInputException e) {
             throw new MalformedInputException("line " + line + ": " + e.getMessage());
         }
--- a/src/main/java/shelffront/client/ClientConnection.java
+++ b/src/main/java/shelffront/client/ClientConnection.java
@@ -34,7 +34,7 @@
     private boolean skipToSync;
     private String unreadable;        // why input from here on makes no sense
     private Exchange current;
-    private int held;                 // bytes of the current request that the memory budget counts
+    private int held;                 // bytes of the request and answer in hand that the memory budget counts
     private Deadline limit;
 
     ClientConnection(Clients clients, AsynchronousSocketChannel channel) {
@@ -190,6 +190,11 @@
 
     @Override
     public void served(byte[] messages) {
+        if (!network.budget().take(messages.length)) {
+            failed();                // there is no room to keep the value until the client takes it
+            return;
+        }
+        held += messages.length;
         network.counters().add(Counters.Name.ANSWERS_SERVED);
         over(messages);
     }
@@ -209,8 +214,6 @@
 
     private void over(byte[] messages) {
         current = null;
-        network.budget().giveBack(held);
-        held = 0;
         answer(messages);
         idle();
         clients.finished(this);
@@ -223,6 +226,8 @@
 
     @Override
     protected void written() {
+        network.budget().giveBack(held);
+        held = 0;
         work();
         clients.finished(this);
     }
--- a/src/main/java/shelffront/gateway/Gateway.java
+++ b/src/main/java/shelffront/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.SocketAddress;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import shelffront.Decide;
 import shelffront.Router;
@@ -79,11 +80,16 @@
             loop.at(loop.now() + DRAIN_CHECK, this::stopWhenDone);
             return;
         }
+        close();
+        network.log().println(network.counters());
+        loop.stop();
+    }
+
+    /** Gives back every socket; on the turn thread, or after it has ended. */
+    void close() {
         clients.close();
         discovery.close(CloseReason.DRAINED);
         servers.closeAll(CloseReason.DRAINED);
-        network.log().println(network.counters());
-        loop.stop();
     }
 
     // ---- From the client side ---------------------------------------------------------------------------------
@@ -155,7 +161,7 @@
 
     @Override
     public void failed() {
-        router.onMembers(loop.now(), ListKind.FAILED, 0, java.util.List.of());
+        router.onMembers(loop.now(), ListKind.FAILED, 0, List.of());
     }
 
     // ---- What the module asks for -----------------------------------------------------------------------------
--- a/src/main/java/shelffront/server/HostConnection.java
+++ b/src/main/java/shelffront/server/HostConnection.java
@@ -29,7 +29,8 @@
     private String errorCode;
     private int rows;
     private boolean complete;
-    private final ByteArrayOutputStream answer = new ByteArrayOutputStream(512);
+    private ByteArrayOutputStream answer = new ByteArrayOutputStream();
+    private int held;                 // bytes of the answer that the memory budget counts
     private final Map<String, String> told = new HashMap<>();
 
     HostConnection(Network network, AsynchronousSocketChannel channel, Host host, Servers servers, long openBy) {
@@ -52,7 +53,6 @@
         errorCode = null;
         rows = 0;
         complete = false;
-        answer.reset();
         told.clear();
         write(query);
     }
@@ -104,6 +104,11 @@
                     close(CloseReason.BAD_ANSWER);
                     return;
                 }
+                if (!network.budget().take(bytes.length)) {
+                    close(CloseReason.NO_MEMORY);
+                    return;
+                }
+                held += bytes.length;
                 answer.writeBytes(bytes);
                 if (m.type() == 'D' && errand.attempt == null) {
                     told.put("report", m.onlyColumn());
@@ -123,7 +128,9 @@
                 } else if (errand != null) {
                     Errand done = errand;
                     errand = null;
-                    servers.finish(done, reply());
+                    Reply reply = reply();
+                    dropAnswer();
+                    servers.finish(done, reply);
                     servers.freed(this);
                 }
             }
@@ -157,13 +164,22 @@
         stopIdling();
         Errand broken = errand;
         errand = null;
+        boolean said = errorCode != null || complete && rows == 1;
+        Reply reply = said ? reply() : Reply.of(requestWritten ? Status.RESET : Status.CONNECT_FAILED);
+        dropAnswer();
         servers.ended(this);
         if (broken != null) {
-            boolean said = errorCode != null || complete && rows == 1;
-            servers.finish(broken, said ? reply() : Reply.of(requestWritten ? Status.RESET : Status.CONNECT_FAILED));
+            servers.finish(broken, reply);
         }
     }
 
+    /** Host connections are many and kept for long: none keeps the room that its greatest answer took. */
+    private void dropAnswer() {
+        network.budget().giveBack(held);
+        held = 0;
+        answer = new ByteArrayOutputStream();
+    }
+
     @Override
     protected String describe() {
         return host.id;
--- a/src/main/java/shelffront/server/Servers.java
+++ b/src/main/java/shelffront/server/Servers.java
@@ -1,12 +1,14 @@
 package shelffront.server;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousSocketChannel;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.HashMap;
 import shelffront.Router.Availability;
 import shelffront.Router.Limits;
 import shelffront.Router.Member;
@@ -31,7 +33,7 @@
         void probed(String member, Reply reply, long took);
     }
 
-    private static final byte[] PROBE = Message.query("SHOW usage".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+    private static final byte[] PROBE = Message.query("SHOW usage".getBytes(US_ASCII));
 
     private final Network network;
     private final Limits limits;
--- a/src/test/java/shelffront/FailureTest.java
+++ b/src/test/java/shelffront/FailureTest.java
@@ -153,7 +153,7 @@
         }
     }
 
-    /** Guards against work that grows with all held requests at each outcome; without the limit this takes over 20 s. */
+    /** Guards against work that grows with all held requests at each outcome; without the limit it takes over 20 s. */
     @Test
     void aFloodOfHeldRequestsDoesNotMakeEachOutcomeDear() {
         bed.start();
--- /dev/null
+++ b/src/test/java/shelffront/gateway/PlayTest.java
@@ -0,0 +1,37 @@
+package shelffront.gateway;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.Test;
+import org.junit.runner.RunWith;
+import org.junit.runners.Parameterized;
+import org.junit.runners.Parameterized.Parameters;
+
+/** Every recorded exchange of src/test/resources/plays, byte for byte. */
+@RunWith(Parameterized.class)
+public class PlayTest {
+
+    private final Path play;
+
+    public PlayTest(String name, Path play) {
+        this.play = play;
+    }
+
+    @Parameters(name = "{0}")
+    public static List<Object[]> plays() throws IOException {
+        try (Stream<Path> files = Files.list(Stage.PLAYS)) {
+            return files.filter(f -> f.toString().endsWith(".play")).sorted()
+                    .map(f -> new Object[] {f.getFileName().toString(), f}).toList();
+        }
+    }
+
+    @Test
+    public void goesAsRecorded() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.play(play);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/shelffront/gateway/Stage.java
@@ -0,0 +1,239 @@
+package shelffront.gateway;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.Assert.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import shelffront.config.GatewayConfig;
+import shelffront.config.Json;
+import shelffront.config.MemberList;
+import shelffront.config.SettingsReader;
+import shelffront.net.Budget;
+import shelffront.net.Counters;
+import shelffront.net.Network;
+import shelffront.net.TurnLoop;
+
+/**
+ * Plays the steps of a recorded exchange against a gateway in this process, on sockets with ports of the system's
+ * choice. Time is the play's own; the only real limit is the one after which a missing byte counts as missing.
+ */
+final class Stage implements AutoCloseable {
+
+    static final Path PLAYS = Path.of("src/test/resources/plays");
+    private static final Path EXAMPLE = Path.of("docs/example-config.json");
+    private static final int MISSING_MS = 20_000;
+
+    private final AtomicLong clock = new AtomicLong(1_800_000_000_000_000L);
+    private final Map<String, ServerSocket> parties = new HashMap<>();
+    private final Map<String, String> given = new HashMap<>();
+    private final Map<String, Socket> sockets = new HashMap<>();
+    private final BlockingQueue<String> log = new ArrayBlockingQueue<>(10_000);
+    private final Counters counters = new Counters();
+    private final TurnLoop loop = new TurnLoop(clock::get, counters);
+    private Gateway gateway;
+    private Thread turns;
+
+    void play(Path file) throws Exception {
+        int number = 0;
+        for (String line : Files.readAllLines(file)) {
+            number++;
+            if (!line.isBlank() && !line.startsWith("#")) {
+                try {
+                    step(line.strip().split(" +", 3));
+                } catch (AssertionError | Exception e) {
+                    throw new AssertionError(file.getFileName() + ":" + number + ": " + line + ": " + e + "; log: "
+                            + log, e);
+                }
+            }
+        }
+    }
+
+    private void step(String[] words) throws Exception {
+        String verb = words.length > 1 ? words[1] : "";
+        String rest = words.length > 2 ? words[2] : "";
+        switch (words[0]) {
+            case "include" -> play(PLAYS.resolveSibling(verb));
+            case "let" -> given.put("@" + verb, rest);
+            case "listen" -> parties.put(verb, new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+            case "unlisten" -> parties.get(verb).close();
+            case "gateway" -> start(named(String.join(" ", verb, rest)));
+            case "clock" -> {
+                clock.addAndGet(Long.parseLong(verb) * 1000);
+                loop.post(() -> { });
+            }
+            case "log" -> awaitLog(String.join(" ", verb, rest).strip());
+            case "stop" -> loop.post(gateway::drain);
+            case "stopped" -> turns.join(MISSING_MS);
+            default -> socketStep(words[0], verb, rest);
+        }
+    }
+
+    private void socketStep(String name, String verb, String rest) throws Exception {
+        switch (verb) {
+            case "opens" -> keep(name, new Socket(InetAddress.getLoopbackAddress(),
+                    ((InetSocketAddress) gateway.address()).getPort()));
+            case "from" -> keep(name, parties.get(rest).accept());
+            case ">" -> sockets.get(name).getOutputStream().write(bytes(named(rest)));
+            case "<" -> {
+                byte[] expected = bytes(named(rest));
+                byte[] got = sockets.get(name).getInputStream().readNBytes(expected.length);
+                assertEquals(readable(expected), readable(got));
+            }
+            case "closes" -> sockets.get(name).close();
+            case "resets" -> {
+                sockets.get(name).setSoLinger(true, 0);
+                sockets.get(name).close();
+            }
+            case "closed" -> assertEquals("", readable(rest(sockets.get(name))));
+            default -> throw new IllegalArgumentException("no step is called " + verb);
+        }
+    }
+
+    private static byte[] rest(Socket socket) throws IOException {
+        try {
+            return socket.getInputStream().readAllBytes();
+        } catch (SocketException e) {
+            return new byte[0];          // a reset is an end too
+        }
+    }
+
+    private void keep(String name, Socket socket) throws SocketException {
+        socket.setSoTimeout(MISSING_MS);
+        sockets.put(name, socket);
+    }
+
+    private void start(String members) throws Exception {
+        String known = "{\"revision\":41,\"complete\":true,\"members\":[" + members + "]}";
+        GatewayConfig config = new GatewayConfig("n0", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                GatewayConfig.address(named("$d")), 7, 1024, 100,
+                SettingsReader.read((Map<?, ?>) Json.object(Files.readString(EXAMPLE)).get("settings")),
+                MemberList.read(Json.object(known)));
+        PrintStream lines = new PrintStream(new ByteArrayOutputStream()) {
+            @Override
+            public void println(String line) {
+                log.add(line);
+            }
+
+            @Override
+            public void println(Object line) {
+                log.add(line.toString());
+            }
+        };
+        gateway = new Gateway(Network.open(loop, new Budget(1 << 20), counters, lines), config);
+        gateway.start();
+        turns = new Thread(() -> {
+            try {
+                loop.run();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        turns.start();
+    }
+
+    private void awaitLog(String wanted) throws InterruptedException {
+        StringBuilder others = new StringBuilder();
+        String line = log.poll(MISSING_MS, TimeUnit.MILLISECONDS);
+        while (line != null && !line.contains(wanted)) {
+            others.append('\n').append(line);
+            line = log.poll(MISSING_MS, TimeUnit.MILLISECONDS);
+        }
+        if (line == null) {
+            throw new AssertionError("no such line in the log, only:" + others);
+        }
+    }
+
+    /** Puts in what words stand for, and addresses for the names of those who listen. */
+    private String named(String text) {
+        for (Map.Entry<String, String> word : given.entrySet()) {
+            text = text.replace(word.getKey(), word.getValue());
+        }
+        for (Map.Entry<String, ServerSocket> party : parties.entrySet()) {
+            text = text.replace("$" + party.getKey(), "127.0.0.1:" + party.getValue().getLocalPort());
+        }
+        return text;
+    }
+
+    /** The notation of the plays; see plays/README.md. */
+    static byte[] bytes(String notation) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        new Object() {
+            private int at;
+
+            void until(char end, ByteArrayOutputStream into) {
+                while (at < notation.length() && notation.charAt(at) != end) {
+                    char c = notation.charAt(at++);
+                    if (c == '"') {
+                        int close = notation.indexOf('"', at);
+                        into.writeBytes(notation.substring(at, close).replace("\\n", "\n").replace("\\r", "\r")
+                                .replace('`', '"').getBytes(ISO_8859_1));
+                        at = close + 1;
+                    } else if ("{([".indexOf(c) >= 0) {
+                        ByteArrayOutputStream inner = new ByteArrayOutputStream();
+                        until("})]".charAt("{([".indexOf(c)), inner);
+                        at++;
+                        into.writeBytes(c == '[' ? (Integer.toHexString(inner.size()) + "\r\n").getBytes(ISO_8859_1)
+                                : number(inner.size() + (c == '{' ? 4 : 0)));
+                        into.writeBytes(inner.toByteArray());
+                        into.writeBytes(c == '[' ? new byte[] {'\r', '\n'} : new byte[0]);
+                    } else if (c == '*') {
+                        int space = (notation + " ").indexOf(' ', at);
+                        into.writeBytes(new byte[Integer.parseInt(notation.substring(at, space))]);
+                        at = space;
+                    } else if (c != ' ') {
+                        into.write(Integer.parseInt(notation.substring(at - 1, ++at), 16));
+                    }
+                }
+            }
+        }.until('\0', out);
+        return out.toByteArray();
+    }
+
+    private static byte[] number(int value) {
+        return new byte[] {(byte) (value >> 24), (byte) (value >> 16), (byte) (value >> 8), (byte) value};
+    }
+
+    private static String readable(byte[] bytes) {
+        StringBuilder text = new StringBuilder();
+        for (byte b : bytes) {
+            text.append(b >= ' ' && b <= '~' ? String.valueOf((char) b) : String.format("\\%02x", b));
+        }
+        return text.toString();
+    }
+
+    @Override
+    public void close() throws IOException {
+        loop.post(loop::stop);
+        try {
+            if (turns != null) {
+                turns.join(MISSING_MS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        for (Socket socket : sockets.values()) {
+            socket.close();
+        }
+        for (ServerSocket party : parties.values()) {
+            party.close();
+        }
+        if (gateway != null) {
+            gateway.close();
+        }
+    }
+}
