Let answers prove a replica's position, so late reports don't empty it

Cause: Decide.covers takes the age of a late report for lag; onOutcome's OK branch, empty, learned nothing from the answers of replicas that check themselves. Test: wires/late-reports.wire fails on the old module, which holds the read.

--- a/src/main/java/shelffront/Decide.java
+++ b/src/main/java/shelffront/Decide.java
@@ -122,10 +122,12 @@
         final Node node;
         final int number;
         final long sentAt = now;
+        final long need;                  // position that the answer had to have
         Status status;                    // null while it is out
 
         Attempt(Pending request, Node node) {
             this.request = request;
+            need = request.need();
             this.node = node;
             number = request.attempts.size();
         }
@@ -152,6 +154,11 @@
             this.token = token;
         }
 
+        /** Position that a replica must have to answer this now. */
+        long need() {
+            return type.read() == Read.BOUNDED ? now - type.bound() : token;
+        }
+
         int outstanding() {
             return (int) attempts.stream().filter(a -> a.status == null).count();
         }
@@ -313,8 +320,6 @@
         }
         judge(a, o);
         Pending p = a.request;
-        if (o.status() == Status.OK) {
-        }
         if (o.status() == Status.OK && p.type.read() == Read.WRITE && p.request.session() != null
                 && !settings.tokensCarried()) {
             remember(p.request, o.position() == UNKNOWN ? now : o.position());
@@ -460,7 +465,7 @@
         if (read == Read.WRITE || read == Read.FRESH) {
             return choosePrimary(p);
         }
-        Node n = cheapest(p, read == Read.BOUNDED ? now - p.type.bound() : p.token);
+        Node n = cheapest(p, p.need());
         boolean waited = p.missed || now >= p.arrival + HOLD || read == Read.ANY;
         return n == null && waited ? fallback(p, read == Read.SESSION ? 1 : PRIMARY_SHARE) : n;
     }
@@ -572,6 +577,17 @@
         }
     }
 
+    /** An OK of a replica that refuses what it lacks proves the position needed, and it keeps its pace. Guards
+     *  against late reports, by which replicas that keep up look behind until no read goes to them. */
+    private void proved(Attempt a) {
+        Node n = a.node;
+        if (settings.check() != LagCheck.NONE && a.need > n.position) {
+            long lag = n.position == UNKNOWN ? a.sentAt : n.heardAt - n.position;
+            n.heardAt = Math.min(a.sentAt, a.need + lag);
+            n.position = a.need;
+        }
+    }
+
     private void remember(Request r, long commit) {
         sessions.merge(r.session(), commit, Math::max);
         if (sessions.size() > SESSIONS) {
@@ -625,9 +641,7 @@
         if (n == p.group.primary || p.type.read() == Read.ANY || p.type.read() == Read.WRITE) {
             return true;
         }
-        long need = p.type.read() == Read.BOUNDED ? now - p.type.bound() : p.token;
-        return p.type.read() != Read.FRESH
-                && (settings.check() != LagCheck.NONE || need == UNKNOWN || n.position >= need);
+        return p.type.read() != Read.FRESH && (settings.check() != LagCheck.NONE || n.position >= p.need());
     }
 
     /** Share of its capacity that a member has at least, by the time since it started. */
@@ -744,6 +758,7 @@
         }
         switch (o.status()) {
             case OK -> {
+                proved(a);
                 double took = Math.max(1, o.took());
                 usual[c] += 0.03 * (Math.min(took, 4 * usual[c]) - usual[c]);
                 slowness(n, took / usual[c]);
--- /dev/null
+++ b/src/test/java/shelffront/adapter/WirePlayTest.java
@@ -0,0 +1,33 @@
+package shelffront.adapter;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static java.util.stream.Collectors.joining;
+import static org.junit.Assert.assertEquals;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.Test;
+
+/** Recorded batches of the simulator's wire: lines with {@code >} go in, those with {@code <} must come out. */
+public class WirePlayTest {
+
+    private static void play(String name) throws Exception {
+        List<String> lines = Files.readAllLines(Path.of("src/test/resources/wires", name));
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        new Wire(new ByteArrayInputStream(marked(lines, "> ").getBytes(UTF_8)), out).run();
+        assertEquals(marked(lines, "< "), out.toString(UTF_8));
+    }
+
+    private static String marked(List<String> lines, String mark) {
+        return lines.stream().filter(l -> l.startsWith(mark)).map(l -> l.substring(mark.length()) + "\n")
+                .collect(joining());
+    }
+
+    @Test
+    public void lateReportsDoNotTakeReadsFromAReplicaThatAnswersThem() throws Exception {
+        play("late-reports.wire");
+    }
+}
