--- a/src/main/java/shelffront/Decide.java
+++ b/src/main/java/shelffront/Decide.java
@@ -577,7 +577,7 @@
         }
     }
 
-    /** An OK of a replica that refuses what it lacks proves the position needed, and it keeps its pace. Guards
+    /** An OK of a replica that refuses what it lacks proves the position needed; it keeps its pace. Guards
      *  against late reports, by which replicas that keep up look behind until no read goes to them. */
     private void proved(Attempt a) {
         Node n = a.node;
--- a/src/main/java/shelffront/net/Counters.java
+++ b/src/main/java/shelffront/net/Counters.java
@@ -25,6 +25,10 @@
         values.merge(name, amount, Long::sum);
     }
 
+    public long get(Name name) {
+        return values.getOrDefault(name, 0L);
+    }
+
     @Override
     public String toString() {
         return values.entrySet().stream().map(e -> e.getKey().name().toLowerCase(Locale.ROOT) + "=" + e.getValue())
--- a/src/test/java/shelffront/gateway/Stage.java
+++ b/src/test/java/shelffront/gateway/Stage.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import shelffront.config.GatewayConfig;
@@ -47,6 +48,7 @@
     private final TurnLoop loop = new TurnLoop(clock::get, counters);
     private Gateway gateway;
     private Thread turns;
+    private long written;
 
     void play(Path file) throws Exception {
         int number = 0;
@@ -73,8 +75,9 @@
             case "unlisten" -> parties.get(verb).close();
             case "gateway" -> start(named(String.join(" ", verb, rest)));
             case "clock" -> {
+                untilAllIsRead();
                 clock.addAndGet(Long.parseLong(verb) * 1000);
-                loop.post(() -> { });
+                untilTurned();
             }
             case "log" -> awaitLog(String.join(" ", verb, rest).strip());
             case "stop" -> loop.post(gateway::drain);
@@ -88,7 +91,11 @@
             case "opens" -> keep(name, new Socket(InetAddress.getLoopbackAddress(),
                     ((InetSocketAddress) gateway.address()).getPort()));
             case "from" -> keep(name, parties.get(rest).accept());
-            case ">" -> sockets.get(name).getOutputStream().write(bytes(named(rest)));
+            case ">" -> {
+                byte[] bytes = bytes(named(rest));
+                written += bytes.length;
+                sockets.get(name).getOutputStream().write(bytes);
+            }
             case "<" -> {
                 byte[] expected = bytes(named(rest));
                 byte[] got = sockets.get(name).getInputStream().readNBytes(expected.length);
@@ -146,6 +153,23 @@
         turns.start();
     }
 
+    /** Guards against time that passes while bytes are on their way: what they mean would depend on the race. */
+    private void untilAllIsRead() throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MISSING_MS);
+        while (untilTurned() < written) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("the program did not read all that was written");
+            }
+        }
+    }
+
+    /** Waits for a turn of the loop; gives the bytes that the program has read by then. */
+    private long untilTurned() throws Exception {
+        CompletableFuture<Long> read = new CompletableFuture<>();
+        loop.post(() -> read.complete(counters.get(Counters.Name.BYTES_IN)));
+        return read.get(MISSING_MS, TimeUnit.MILLISECONDS);
+    }
+
     private void awaitLog(String wanted) throws InterruptedException {
         StringBuilder others = new StringBuilder();
         String line = log.poll(MISSING_MS, TimeUnit.MILLISECONDS);
