--- a/src/main/java/shelffront/server/Servers.java
+++ b/src/main/java/shelffront/server/Servers.java
@@ -216,6 +216,11 @@
 
     private void giveUp(Errand errand, Status status) {
         abandon(errand, CloseReason.TIMED_OUT);
+        if (errand.attempt == null && errand.host != null) {
+            // Guards against a machine that vanished and came back: its old connections look open and are dead,
+            // and each would cost a request. Probes are answered beside the queue, so silence is no overload.
+            closeIdle(errand.host, CloseReason.SILENT);
+        }
         finish(errand, Reply.of(status));
     }
 
