--- a/src/main/java/shelffront/client/ClientConnection.java
+++ b/src/main/java/shelffront/client/ClientConnection.java
@@ -46,7 +46,11 @@
 
     /** Whether it may be closed without a loss: nothing of it is in work or unsent. */
     boolean isIdle() {
-        return started && current == null && waiting.isEmpty() && drained();
+        return current == null && waiting.isEmpty() && drained();
+    }
+
+    boolean hasStarted() {
+        return started;
     }
 
     @Override
--- a/src/main/java/shelffront/client/Clients.java
+++ b/src/main/java/shelffront/client/Clients.java
@@ -87,7 +87,7 @@
 
     private boolean evict() {
         for (ClientConnection c : connections) {
-            if (c.isIdle()) {
+            if (c.hasStarted() && c.isIdle()) {
                 c.close(CloseReason.EVICTED);
                 return true;
             }
@@ -119,7 +119,7 @@
         }
     }
 
-    /** Closes connections as they fall idle; new ones are still taken, for they may carry requests. */
+    /** Closes what is idle now and what falls idle later; new ones are still taken, for they may carry requests. */
     public void drain() {
         draining = true;
         List.copyOf(connections).forEach(this::finished);
--- a/src/main/java/shelffront/gateway/Gateway.java
+++ b/src/main/java/shelffront/gateway/Gateway.java
@@ -69,13 +69,12 @@
     /** Finishes what was taken and what still comes in, then stops the loop. */
     public void drain() {
         network.log().println("stopping");
-        loop.at(loop.now() + LAST_ARRIVALS, () -> {
-            clients.drain();
-            stopWhenDone();
-        });
+        loop.at(loop.now() + LAST_ARRIVALS, this::stopWhenDone);
     }
 
+    /** Guards against a connection that says nothing, or comes last of all, holding up the end until SIGKILL. */
     private void stopWhenDone() {
+        clients.drain();
         if (!clients.isEmpty() || !exchanges.isEmpty()) {
             loop.at(loop.now() + DRAIN_CHECK, this::stopWhenDone);
             return;
