--- a/src/main/java/shelffront/discovery/ChunkedLines.java
+++ b/src/main/java/shelffront/discovery/ChunkedLines.java
@@ -21,6 +21,8 @@
 
     private final Consumer<String> lines;
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+    /** A chunk may end inside a line: what there is of it is kept aside while the frame is read. */
+    private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
     private Part part = Part.STATUS;
     private int status;
     private boolean chunked;
@@ -73,9 +75,6 @@
         }
     }
 
-    /** A chunk may end inside a line: what there is of it is kept aside while the frame is read. */
-    private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
-
     private void bodyPartEnds() {
         if (chunked) {
             kept.writeBytes(line.toByteArray());
@@ -124,7 +123,7 @@
     }
 
     private static long size(String text, int radix) throws MalformedInputException {
-        if (!text.matches(radix == 16 ? "[0-9a-f]{1,7}|[0-9A-Fa-f]{1,7}" : "[0-9]{1,9}")) {
+        if (!text.matches(radix == 16 ? "[0-9A-Fa-f]{1,7}" : "[0-9]{1,9}")) {
             throw new MalformedInputException("not a length: " + text);
         }
         return Long.parseLong(text, radix);
--- a/src/main/java/shelffront/pg/Statement.java
+++ b/src/main/java/shelffront/pg/Statement.java
@@ -98,10 +98,6 @@
         return -1;
     }
 
-    public int size() {
-        return bytes.length;
-    }
-
     /** The statement with another {@code d}, in the form in which clients write it: whole milliseconds. */
     public byte[] withWait(long milliseconds) {
         byte[] digits = Long.toString(milliseconds).getBytes(ISO_8859_1);
