Put a host connection back before its outcome is told, so the resend can use it

Cause: HostConnection.take told the outcome before Servers.freed, so what the module sent in answer found no idle connection and opened one, at a handshake's cost to the host. Test: resend.play opened a third connection before, two now.

--- a/src/main/java/shelffront/server/HostConnection.java
+++ b/src/main/java/shelffront/server/HostConnection.java
@@ -130,8 +130,8 @@
                     errand = null;
                     Reply reply = reply();
                     dropAnswer();
+                    servers.freed(this);     // before the outcome, whose next send may want this connection
                     servers.finish(done, reply);
-                    servers.freed(this);
                 }
             }
             default -> { }      // authentication, key data and notices ask for nothing
