--- a/src/main/java/shelffront/net/TurnLoop.java
+++ b/src/main/java/shelffront/net/TurnLoop.java
@@ -34,6 +34,7 @@
     /** Results taken before deadlines get their turn, so that a flood of input can't starve them. */
     private static final int RESULTS_A_TURN = 256;
 
+    /** Bounded by what can be out: a read and a write for each connection, and one accept. */
     private final LinkedBlockingQueue<Runnable> results = new LinkedBlockingQueue<>();
     private final TreeSet<Deadline> deadlines = new TreeSet<>(
             Comparator.<Deadline>comparingLong(d -> d.at).thenComparingLong(d -> d.order));
