--- a/src/main/java/shelffront/client/ClientConnection.java
+++ b/src/main/java/shelffront/client/ClientConnection.java
@@ -171,6 +171,8 @@
         int classIndex = clients.classIndex(statement.value("c"));
         Read read = clients.classes.get(classIndex).read();
         long deadline = arrival + statement.number("d", 0) * 1000L;
+        // Read before the request is taken up: a fault found later would leave it in work for ever.
+        int group = statement.number("cluster", 0);
         String session = read == Read.WRITE || read == Read.SESSION ? statement.key() : null;
         network.counters().add(Counters.Name.REQUESTS_TAKEN);
         if (!network.budget().take(bytes.length)) {
@@ -180,7 +182,7 @@
         held = bytes.length;
         limit.cancel();
         current = new Exchange(statement.value("id"), statement, classIndex, deadline, this);
-        clients.taker.take(current, session, statement.number("cluster", 0), "1".equals(statement.value("r")));
+        clients.taker.take(current, session, group, "1".equals(statement.value("r")));
     }
 
     private static boolean blank(byte[] statement) {
