Tidy after a re-read: one ending for requests, addresses read with the list

What was written twice is written once: Gateway.reject and fail, BUSY_WAIT, the number check of SettingsReader and Json. The chunk reader has a buffer for its own lines, so nothing is copied aside at a chunk's end, and loses a state that could not be seen. Message.query no longer builds the body apart. A probe keeps its member's name where the list does not know it.

--- a/src/main/java/shelffront/client/ClientConnection.java
+++ b/src/main/java/shelffront/client/ClientConnection.java
@@ -20,7 +20,6 @@
     private static final int MOST_WAITING = 8;   // Commands read ahead of the one in work.
     private static final long STARTUP_TIME = 10_000_000;
     private static final long IDLE_TIME = 300_000_000;
-    private static final long BUSY_WAIT = 200_000;
 
     /**
      * A command and when its last byte came: its time counts from there, however long it waits. Input that can't be
@@ -176,7 +175,7 @@
         String session = read == Read.WRITE || read == Read.SESSION ? statement.key() : null;
         network.counters().add(Counters.Name.REQUESTS_TAKEN);
         if (!network.budget().take(bytes.length)) {
-            refused(BUSY_WAIT);
+            refused(Exchange.BUSY_WAIT);
             return;
         }
         held = bytes.length;
--- a/src/main/java/shelffront/config/Json.java
+++ b/src/main/java/shelffront/config/Json.java
@@ -37,6 +37,11 @@
     }
 
     static double number(Map<?, ?> object, String name, double absent) throws MalformedInputException {
+        return number("", object, name, absent);
+    }
+
+    /** The path, with its closing dot, is for the message. */
+    static double number(String path, Map<?, ?> object, String name, double absent) throws MalformedInputException {
         Object found = object.get(name);
         if (found == null) {
             return absent;
@@ -44,7 +49,7 @@
         if (found instanceof Number number) {
             return number.doubleValue();
         }
-        throw new MalformedInputException(name + " is not a number");
+        throw new MalformedInputException(path + name + " is not a number");
     }
 
     static Map<?, ?> part(Map<?, ?> object, String name) throws MalformedInputException {
--- a/src/main/java/shelffront/config/MemberList.java
+++ b/src/main/java/shelffront/config/MemberList.java
@@ -1,5 +1,6 @@
 package shelffront.config;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -8,14 +9,15 @@
 import shelffront.Router.Member;
 
 /** A list of database hosts in discovery's form: the module's members, and where each is to be reached. */
-public record MemberList(long revision, boolean complete, List<Member> members, Map<String, String> addresses) {
+public record MemberList(long revision, boolean complete, List<Member> members,
+        Map<String, InetSocketAddress> addresses) {
 
     private static final Map<String, Availability> PHASES = Map.of("Ready", Availability.LIVE,
             "Terminating", Availability.DRAINING, "Gone", Availability.GONE);
 
     public static MemberList read(Map<?, ?> object) throws MalformedInputException {
         List<Member> members = new ArrayList<>();
-        Map<String, String> addresses = new HashMap<>();
+        Map<String, InetSocketAddress> addresses = new HashMap<>();
         if (!(object.get("members") instanceof List<?> entries)) {
             throw new MalformedInputException("members is not an array");
         }
@@ -28,10 +30,8 @@
             if (phase == null) {
                 throw new MalformedInputException("phase of " + id + " is not known");
             }
-            if (m.get("host_port") instanceof String address) {
-                addresses.put(id, address);
-            } else if (phase != Availability.GONE) {
-                throw new MalformedInputException("host_port of " + id + " is not a text");
+            if (phase != Availability.GONE) {
+                addresses.put(id, GatewayConfig.address(Json.text(m, "host_port")));
             }
             members.add(new Member(id, m.get("flavor") instanceof String kind ? kind : "",
                     m.get("locality") instanceof String zone ? zone : "", (int) Json.number(m, "cell", 0),
--- a/src/main/java/shelffront/config/SettingsReader.java
+++ b/src/main/java/shelffront/config/SettingsReader.java
@@ -97,14 +97,7 @@
     }
 
     private double number(String name, double absent) throws MalformedInputException {
-        Object value = values.get(name);
-        if (value == null) {
-            return absent;
-        }
-        if (value instanceof Number n) {
-            return n.doubleValue();
-        }
-        throw new MalformedInputException(path + "." + name + " is not a number");
+        return Json.number(path + ".", values, name, absent);
     }
 
     private long integer(String name, long absent) throws MalformedInputException {
--- a/src/main/java/shelffront/discovery/ChunkedLines.java
+++ b/src/main/java/shelffront/discovery/ChunkedLines.java
@@ -17,12 +17,13 @@
 
     private static final int GREATEST_LINE = 256 * 1024;
 
-    private enum Part { STATUS, HEADER, CHUNK_SIZE, BODY, CHUNK_END, TRAILER, END }
+    private enum Part { STATUS, HEADER, CHUNK_SIZE, BODY, CHUNK_END, END }
 
     private final Consumer<String> lines;
+    /** The line of the body so far; a chunk may end inside it. */
     private final ByteArrayOutputStream line = new ByteArrayOutputStream();
-    /** A chunk may end inside a line: what there is of it is kept aside while the frame is read. */
-    private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
+    /** The line of status, headers or chunk sizes so far. */
+    private final ByteArrayOutputStream frame = new ByteArrayOutputStream();
     private Part part = Part.STATUS;
     private int status;
     private boolean chunked;
@@ -42,8 +43,8 @@
     }
 
     /** The body's last line where no line end follows it. */
-    void finish() {
-        if (line.size() > 0 && part != Part.STATUS && part != Part.HEADER) {
+    private void finish() {
+        if (line.size() > 0) {
             lines.accept(line.toString(UTF_8));
         }
         line.reset();
@@ -53,20 +54,20 @@
     void take(ByteBuffer in) throws MalformedInputException {
         while (in.hasRemaining() && part != Part.END) {
             byte b = in.get();
-            if (part == Part.BODY) {
-                left--;
-            }
+            boolean inBody = part == Part.BODY;
+            left -= inBody ? 1 : 0;
+            ByteArrayOutputStream into = inBody ? line : frame;
             if (b != '\n') {
-                line.write(b);
-                if (line.size() > GREATEST_LINE) {
+                into.write(b);
+                if (into.size() > GREATEST_LINE) {
                     throw new MalformedInputException("a line is too long");
                 }
-            } else if (part == Part.BODY) {
+            } else if (inBody) {
                 lines.accept(line.toString(UTF_8));
                 line.reset();
             } else {
-                String text = line.toString(ISO_8859_1).strip();
-                line.reset();
+                String text = frame.toString(ISO_8859_1).strip();
+                frame.reset();
                 protocolLine(text);
             }
             if (part == Part.BODY && left == 0) {
@@ -77,8 +78,6 @@
 
     private void bodyPartEnds() {
         if (chunked) {
-            kept.writeBytes(line.toByteArray());
-            line.reset();
             part = Part.CHUNK_END;
         } else {
             finish();
@@ -97,9 +96,7 @@
             case HEADER -> header(text.toLowerCase(Locale.ROOT));
             case CHUNK_SIZE -> {
                 left = size(text.split(";", 2)[0].strip(), 16);
-                part = left == 0 ? Part.TRAILER : Part.BODY;
-                line.writeBytes(kept.toByteArray());
-                kept.reset();
+                part = Part.BODY;
                 if (left == 0) {
                     finish();
                 }
--- a/src/main/java/shelffront/discovery/Discovery.java
+++ b/src/main/java/shelffront/discovery/Discovery.java
@@ -73,8 +73,10 @@
 
     /** A watch counts as failed whatever ended it; a fetch only where no list came. */
     void ended(DiscoveryCall call, boolean standing, boolean listCame) {
-        if (standing ? call == watch : !listCame) {
-            watch = standing ? null : watch;
+        if (call == watch) {
+            watch = null;
+            failed();
+        } else if (!standing && !listCame) {
             failed();
         }
     }
--- a/src/main/java/shelffront/gateway/Gateway.java
+++ b/src/main/java/shelffront/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import shelffront.Decide;
 import shelffront.Router;
 import shelffront.Router.ListKind;
@@ -13,7 +14,6 @@
 import shelffront.Router.Status;
 import shelffront.client.Clients;
 import shelffront.config.GatewayConfig;
-import shelffront.config.MalformedInputException;
 import shelffront.config.MemberList;
 import shelffront.discovery.Discovery;
 import shelffront.net.CloseReason;
@@ -29,7 +29,6 @@
     /** Connections arrive for 0.4 s after the order to stop; those that stay idle longer are closed. */
     private static final long LAST_ARRIVALS = 500_000;
     private static final long DRAIN_CHECK = 20_000;
-    private static final long BUSY_WAIT = 200_000;
     /** Of the descriptors: half for clients, three eighths for hosts, the rest for files, discovery and the JVM. */
     private static final double CLIENT_SHARE = 0.5;
     private static final double HOST_SHARE = 0.375;
@@ -59,7 +58,7 @@
     }
 
     /** Starts the module with the list as this gateway last had it, then takes clients in. */
-    public void start() throws MalformedInputException {
+    public void start() {
         servers.listed(config.known());
         router.onStart(loop.now(), config.seed(), config.settings());
         router.onMembers(loop.now(), ListKind.REMEMBERED, config.known().revision(), config.known().members());
@@ -96,7 +95,7 @@
     @Override
     public void take(Exchange exchange, String session, int group, boolean repeat) {
         if (exchanges.size() >= config.openCap() || exchanges.containsKey(exchange.id)) {
-            exchange.asker.refused(BUSY_WAIT);
+            exchange.asker.refused(Exchange.BUSY_WAIT);
             return;
         }
         exchanges.put(exchange.id, exchange);
@@ -148,12 +147,7 @@
 
     @Override
     public void heard(MemberList list) {
-        try {
-            servers.listed(list);
-        } catch (MalformedInputException e) {
-            network.log().println("list " + list.revision() + ": " + e.getMessage());
-            return;
-        }
+        servers.listed(list);
         router.onMembers(loop.now(), list.complete() ? ListKind.ALL : ListKind.CHANGES, list.revision(),
                 list.members());
     }
@@ -188,20 +182,19 @@
 
     @Override
     public void reject(String requestId, long retryAfter) {
-        Exchange exchange = exchanges.get(requestId);
-        if (exchange != null && !exchange.answered) {
-            exchange.answered = true;
-            exchange.asker.refused(retryAfter);
-            forget(exchange);
-        }
+        end(requestId, asker -> asker.refused(retryAfter));
     }
 
     @Override
     public void fail(String requestId) {
+        end(requestId, Exchange.Asker::failed);
+    }
+
+    private void end(String requestId, Consumer<Exchange.Asker> answer) {
         Exchange exchange = exchanges.get(requestId);
         if (exchange != null && !exchange.answered) {
             exchange.answered = true;
-            exchange.asker.failed();
+            answer.accept(exchange.asker);
             forget(exchange);
         }
     }
--- a/src/main/java/shelffront/pg/Message.java
+++ b/src/main/java/shelffront/pg/Message.java
@@ -104,9 +104,8 @@
     }
 
     public static byte[] query(byte[] statement) {
-        byte[] body = new byte[statement.length + 1];
-        System.arraycopy(statement, 0, body, 0, statement.length);
-        return new Message('Q', body).bytes();
+        return ByteBuffer.allocate(6 + statement.length).put((byte) 'Q').putInt(5 + statement.length).put(statement)
+                .put((byte) 0).array();
     }
 
     public static byte[] authenticationOk() {
--- a/src/main/java/shelffront/server/Errand.java
+++ b/src/main/java/shelffront/server/Errand.java
@@ -6,7 +6,8 @@
 /** What one host connection carries at a time: an attempt, or a probe where there is none. */
 final class Errand {
 
-    final Host host;
+    final String member;
+    final Host host;                  // null where the list does not know the member
     final Attempt attempt;
     final long startedAt;
     Deadline connectBy;
@@ -14,7 +15,8 @@
     HostConnection on;
     boolean over;
 
-    Errand(Host host, Attempt attempt, long startedAt) {
+    Errand(String member, Host host, Attempt attempt, long startedAt) {
+        this.member = member;
         this.host = host;
         this.attempt = attempt;
         this.startedAt = startedAt;
--- a/src/main/java/shelffront/server/Servers.java
+++ b/src/main/java/shelffront/server/Servers.java
@@ -13,8 +13,6 @@
 import shelffront.Router.Limits;
 import shelffront.Router.Member;
 import shelffront.Router.Status;
-import shelffront.config.GatewayConfig;
-import shelffront.config.MalformedInputException;
 import shelffront.config.MemberList;
 import shelffront.gateway.Attempt;
 import shelffront.net.CloseReason;
@@ -51,13 +49,13 @@
     }
 
     /** Takes the addresses of a list; connections to hosts that left it, or moved, are given back. */
-    public void listed(MemberList list) throws MalformedInputException {
+    public void listed(MemberList list) {
         for (Member m : list.members()) {
             if (m.availability() == Availability.GONE) {
                 leave(m.id());
                 continue;
             }
-            InetSocketAddress address = GatewayConfig.address(list.addresses().get(m.id()));
+            InetSocketAddress address = list.addresses().get(m.id());
             Host host = hosts.computeIfAbsent(m.id(), Host::new);
             if (host.address != null && !host.address.equals(address)) {
                 closeIdle(host, CloseReason.LEFT_LIST);
@@ -79,14 +77,14 @@
 
     public void start(Attempt attempt) {
         Host host = hosts.get(attempt.member);
-        Errand errand = new Errand(host, attempt, network.loop().now());
+        Errand errand = new Errand(attempt.member, host, attempt, network.loop().now());
         errands.put(attempt, errand);
         errand.endBy = network.loop().at(attempt.exchange.deadline, () -> giveUp(errand, Status.TIMEOUT));
         begin(errand);
     }
 
     public void probe(String member) {
-        Errand errand = new Errand(hosts.get(member), null, network.loop().now());
+        Errand errand = new Errand(member, hosts.get(member), null, network.loop().now());
         network.counters().add(Counters.Name.PROBES_SENT);
         errand.endBy = network.loop().at(network.loop().now() + limits.connectTimeout(),
                 () -> giveUp(errand, Status.TIMEOUT));
@@ -246,8 +244,7 @@
             errands.remove(errand.attempt);
             listener.ended(errand.attempt, reply);
         } else {
-            listener.probed(errand.host == null ? "" : errand.host.id, reply,
-                    network.loop().now() - errand.startedAt);
+            listener.probed(errand.member, reply, network.loop().now() - errand.startedAt);
         }
     }
 }
