Read the configuration anew on SIGHUP and move discovery's watch to its address

Main set no handler, and the JVM treats SIGHUP as an order to stop. Change: a handler stands before the gateway is ready and only posts; the turn thread reads the file and Discovery moves its watch, from the revision heard. A file that can't be read leaves a line and the old address. Tests: reload.play (move, bad files, a failed watch, during a stop) and ServeIT (the jar under real signals).

--- a/src/main/java/shelffront/Main.java
+++ b/src/main/java/shelffront/Main.java
@@ -13,10 +13,12 @@
 import shelffront.config.GatewayConfig;
 import shelffront.config.MalformedInputException;
 import shelffront.gateway.Gateway;
+import shelffront.gateway.Reload;
 import shelffront.net.Budget;
 import shelffront.net.Counters;
 import shelffront.net.Network;
 import shelffront.net.TurnLoop;
+import sun.misc.Signal;
 
 /** The commands: {@code serve} runs a gateway, {@code benchlink} speaks the simulator's wire. */
 public final class Main {
@@ -62,8 +64,12 @@
                 Thread.currentThread().interrupt();
             }
         }, "stop"));
+        Reload reload = new Reload(loop, gateway, System.getenv(), log);
+        // Before the gateway is ready: without a handler the JVM ends on SIGHUP.
+        Signal.handle(new Signal("HUP"), signal -> reload.ask());
         gateway.start();
-        log.println("gateway " + config.name() + " listens on " + gateway.address());
+        log.println("gateway " + config.name() + " listens on " + gateway.address() + ", discovery is "
+                + config.discovery());
         loop.run();
         log.flush();
         stopped.countDown();
--- a/src/main/java/shelffront/config/GatewayConfig.java
+++ b/src/main/java/shelffront/config/GatewayConfig.java
@@ -1,6 +1,9 @@
 package shelffront.config;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -11,13 +14,15 @@
 public record GatewayConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         int sockets, int openCap, Settings settings, MemberList known) {
 
+    private static final int GREATEST_FILE = 1 << 20;
+
     public static GatewayConfig fromEnvironment(Map<String, String> environment)
             throws IOException, MalformedInputException {
         String path = environment.get("BALANCER_CONFIG");
         if (path == null) {
             throw new MalformedInputException("BALANCER_CONFIG is not set");
         }
-        Map<?, ?> top = Json.object(Files.readString(Path.of(path)));
+        Map<?, ?> top = Json.object(text(Path.of(path)));
         Map<?, ?> settings = Json.part(top, "settings");
         return new GatewayConfig(given(environment, "BALANCER_NAME", top, "name"),
                 address(given(environment, "BALANCER_LISTEN", top, "listen")),
@@ -28,6 +33,17 @@
                 SettingsReader.read(settings), MemberList.read(Json.part(top, "known")));
     }
 
+    /** Guards a running gateway that reads its file anew against one too large for its memory. */
+    private static String text(Path path) throws IOException, MalformedInputException {
+        try (InputStream in = Files.newInputStream(path)) {
+            byte[] bytes = in.readNBytes(GREATEST_FILE + 1);
+            if (bytes.length > GREATEST_FILE) {
+                throw new MalformedInputException("the configuration is larger than " + GREATEST_FILE + " bytes");
+            }
+            return new String(bytes, UTF_8);
+        }
+    }
+
     private static String given(Map<String, String> environment, String variable, Map<?, ?> top, String name)
             throws MalformedInputException {
         String value = environment.get(variable);
--- a/src/main/java/shelffront/discovery/Discovery.java
+++ b/src/main/java/shelffront/discovery/Discovery.java
@@ -20,28 +20,39 @@
     }
 
     private final Network network;
-    private final InetSocketAddress address;
-    private final String host;
     private final Listener listener;
+    private InetSocketAddress address;
     private long revision;
+    private boolean watching;         // as asked; the watch itself may have failed
     private DiscoveryCall watch;
 
     public Discovery(Network network, InetSocketAddress address, long revision, Listener listener) {
         this.network = network;
         this.address = address;
-        this.host = address.getHostString() + ":" + address.getPort();
         this.revision = revision;
         this.listener = listener;
     }
 
     /** Starts the watch anew, or ends it. */
     public void watch(boolean on) {
+        watching = on;
         close(CloseReason.REPLACED);
         if (on) {
             watch = call("/catalog/members?watch=1&from=" + revision, true);
         }
     }
 
+    /**
+     * Discovery answers elsewhere from now on. A watch that is asked for starts there at once: the old address may
+     * close late, and what it no longer tells counts as told all the same.
+     */
+    public void move(InetSocketAddress to) {
+        address = to;
+        if (watching) {
+            watch(true);
+        }
+    }
+
     public void fetch() {
         call("/catalog/members", false);
     }
@@ -56,8 +67,9 @@
 
     private DiscoveryCall call(String path, boolean standing) {
         try {
-            return new DiscoveryCall(network, network.newChannel(), address, "GET " + path
-                    + " HTTP/1.1\r\nHost: " + host + "\r\nAccept: application/json\r\n\r\n", standing, this);
+            return new DiscoveryCall(network, network.newChannel(), address, "GET " + path + " HTTP/1.1\r\nHost: "
+                    + address.getHostString() + ":" + address.getPort() + "\r\nAccept: application/json\r\n\r\n",
+                    standing, this);
         } catch (IOException e) {
             network.log().println("no socket for discovery: " + e.getMessage());
             network.loop().post(this::failed);
--- a/src/main/java/shelffront/gateway/Gateway.java
+++ b/src/main/java/shelffront/gateway/Gateway.java
@@ -65,6 +65,16 @@
         clients.accept();
     }
 
+    /**
+     * Takes up a configuration that replaces the running one. Only discovery's address may change under way: the rest
+     * is told to the module and the sockets once, and the list that runs is newer than the file's.
+     */
+    public void reload(GatewayConfig next) {
+        discovery.move(next.discovery());
+        network.log().println("reloaded, discovery is " + next.discovery()
+                + (next.settings().equals(config.settings()) ? "" : "; other settings hold from the next start"));
+    }
+
     /** Finishes what was taken and what still comes in, then stops the loop. */
     public void drain() {
         network.log().println("stopping");
--- /dev/null
+++ b/src/test/java/shelffront/ServeIT.java
@@ -0,0 +1,85 @@
+package shelffront;
+
+import static org.junit.Assert.assertEquals;
+import static org.junit.Assert.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.junit.Rule;
+import org.junit.Test;
+import org.junit.rules.TemporaryFolder;
+
+/** The built jar under the signals of its platform. */
+public class ServeIT {
+
+    private static final int MISSING_MS = 20_000;
+
+    @Rule
+    public final TemporaryFolder folder = new TemporaryFolder();
+
+    /** Guards against a JVM that ends on SIGHUP, with all that the gateway had taken. */
+    @Test
+    public void readsItsFileAnewOnSighupAndEndsOnSigterm() throws Exception {
+        Path file = folder.newFile("config.json").toPath();
+        try (ServerSocket before = listen(); ServerSocket after = listen()) {
+            write(file, before);
+            ProcessBuilder builder = new ProcessBuilder("java", "-jar", "target/shelffront.jar", "serve");
+            builder.environment().keySet().removeIf(name -> name.startsWith("BALANCER_"));
+            builder.environment().put("BALANCER_CONFIG", file.toString());
+            builder.environment().put("BALANCER_LISTEN", "127.0.0.1:0");
+            builder.environment().put("BALANCER_DISCOVERY", address(before));
+            Process gateway = builder.redirectErrorStream(true).start();
+            try (BufferedReader log = gateway.inputReader(); Socket watch = before.accept()) {
+                await(log, "listens on");
+                write(file, after);
+                signal(gateway, "HUP");
+                await(log, "reloaded, discovery is /" + address(after));
+                after.accept().close();
+                Files.writeString(file, "{");
+                signal(gateway, "HUP");
+                await(log, "reload failed");
+                signal(gateway, "TERM");
+                await(log, "counters");
+                assertTrue(gateway.waitFor(MISSING_MS, TimeUnit.MILLISECONDS));
+            } finally {
+                gateway.destroyForcibly();
+            }
+        }
+    }
+
+    private static ServerSocket listen() throws IOException {
+        ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        socket.setSoTimeout(MISSING_MS);
+        return socket;
+    }
+
+    private static String address(ServerSocket socket) {
+        return "127.0.0.1:" + socket.getLocalPort();
+    }
+
+    private static void write(Path file, ServerSocket discovery) throws IOException {
+        Files.writeString(file, Files.readString(Path.of("docs/example-config.json"))
+                .replace("127.0.0.1:8500", address(discovery)));
+    }
+
+    private static void signal(Process process, String name) throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor());
+    }
+
+    private static void await(BufferedReader log, String wanted) throws IOException {
+        StringBuilder seen = new StringBuilder();
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            if (line.contains(wanted)) {
+                return;
+            }
+            seen.append(line).append('\n');
+        }
+        throw new AssertionError("the log ended without " + wanted + ": " + seen);
+    }
+}
--- a/src/test/java/shelffront/gateway/Stage.java
+++ b/src/test/java/shelffront/gateway/Stage.java
@@ -46,10 +46,16 @@
     private final BlockingQueue<String> log = new ArrayBlockingQueue<>(10_000);
     private final Counters counters = new Counters();
     private final TurnLoop loop = new TurnLoop(clock::get, counters);
+    private final Path file;
     private Gateway gateway;
+    private Reload reload;
     private Thread turns;
     private long written;
 
+    Stage() throws IOException {
+        file = Files.createTempFile("stage", ".json");
+    }
+
     void play(Path file) throws Exception {
         int number = 0;
         for (String line : Files.readAllLines(file)) {
@@ -79,7 +85,8 @@
                 clock.addAndGet(Long.parseLong(verb) * 1000);
                 untilTurned();
             }
-            case "log" -> awaitLog(String.join(" ", verb, rest).strip());
+            case "log" -> awaitLog(named(String.join(" ", verb, rest).strip()));
+            case "reload" -> reload(named(String.join(" ", verb, rest)));
             case "stop" -> loop.post(gateway::drain);
             case "stopped" -> turns.join(MISSING_MS);
             default -> socketStep(words[0], verb, rest);
@@ -142,6 +149,7 @@
             }
         };
         gateway = new Gateway(Network.open(loop, new Budget(1 << 20), counters, lines), config);
+        reload = new Reload(loop, gateway, Map.of("BALANCER_CONFIG", file.toString()), lines);
         gateway.start();
         turns = new Thread(() -> {
             try {
@@ -153,6 +161,13 @@
         turns.start();
     }
 
+    /** Writes the file and gives the order to read it; the address of discovery alone stands for a whole file. */
+    private void reload(String text) throws IOException {
+        Files.writeString(file, text.matches("[0-9.:]+ *")
+                ? Files.readString(EXAMPLE).replace("127.0.0.1:8500", text.strip()) : text);
+        reload.ask();
+    }
+
     /** Guards against time that passes while bytes are on their way: what they mean would depend on the race. */
     private void untilAllIsRead() throws Exception {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MISSING_MS);
@@ -259,5 +274,6 @@
         if (gateway != null) {
             gateway.close();
         }
+        Files.deleteIfExists(file);
     }
 }
