Judge every message of a host's answer, and end a connection on what is not asked for

Cause, HostConnection.take: unknown types were skipped, neither order, column count, lengths nor tag was checked, and on ReadyForQuery the connection was freed with bytes left, so a second copy was read as the answer to the next request; that request counted as done while its attempt was still out. Ruled out: the module's resends (the trace shows one attempt each at a time) and clients' retries (new ids). Change: Answer judges type and length before the body, then fields, order, tag and state; anything else is an ERROR that may have run, and the connection ends. Bytes behind an answer, on an idle connection or before a request was written end the connection. Half an answer is given up after 250 ms. A report that can't be read spoils only the report.

--- a/src/main/java/shelffront/client/ClientConnection.java
+++ b/src/main/java/shelffront/client/ClientConnection.java
@@ -18,6 +18,7 @@
 final class ClientConnection extends Connection implements Exchange.Asker {
 
     private static final int MOST_WAITING = 8;   // Commands read ahead of the one in work.
+    private static final String TYPES = "QXSPBDECHFdcf";
     private static final long STARTUP_TIME = 10_000_000;
     private static final long IDLE_TIME = 300_000_000;
 
@@ -64,7 +65,7 @@
                 continue;
             }
             while (started && wantsInput()) {
-                Message message = Message.next(bytes);
+                Message message = Message.next(bytes, TYPES, Message.GREATEST);
                 if (message == null) {
                     break;
                 }
@@ -150,9 +151,7 @@
                 write(Message.error(false, "0A000", "only simple queries are served", null));
             }
             case 'F' -> throw new ProtocolException("0A000", "function calls are not served");
-            case 'd', 'c', 'f' -> { }   // copy data outside a copy is dropped, as a server does
-            default -> unreadable(new ProtocolException("08P01", "unknown message type " + (int) message.type()),
-                    CloseReason.MALFORMED);
+            default -> { }   // copy data outside a copy is dropped, as a server does
         }
     }
 
--- a/src/main/java/shelffront/pg/Message.java
+++ b/src/main/java/shelffront/pg/Message.java
@@ -5,6 +5,8 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
 
 /** A message of PostgreSQL's wire protocol, version 3: its type and the bytes after the length. */
 public record Message(char type, byte[] body) {
@@ -22,13 +24,19 @@
 
     private static final int GREATEST_STARTUP = 10_000;
 
-    /** Takes the next whole message, or null where more bytes are needed. */
-    public static Message next(ByteBuffer in) throws ProtocolException {
+    /**
+     * Takes the next whole message, or null where more bytes are needed. Guards against waiting for the body of what
+     * is no message: type and length are judged as soon as they are there.
+     */
+    public static Message next(ByteBuffer in, String types, int greatest) throws ProtocolException {
+        if (in.hasRemaining() && types.indexOf(in.get(in.position()) & 0xff) < 0) {
+            throw new ProtocolException("08P01", "unknown message type " + (in.get(in.position()) & 0xff));
+        }
         if (in.remaining() < 5) {
             return null;
         }
         int length = in.getInt(in.position() + 1);
-        if (length < 4 || length >= GREATEST) {
+        if (length < 4 || length >= greatest) {
             throw new ProtocolException(length < 4 ? "08P01" : TOO_LARGE, "message length " + length);
         }
         if (in.remaining() < 1 + length) {
@@ -76,25 +84,49 @@
         return new String(body, from, end - from, ISO_8859_1);
     }
 
-    /** A field of an ErrorResponse; null where it is absent. */
-    public String errorField(char field) {
-        for (int at = 0; at < body.length && body[at] != 0;) {
+    /** The zero-terminated texts that make up the whole body. */
+    public String[] texts(int count) throws ProtocolException {
+        String[] texts = new String[count];
+        int at = 0;
+        for (int i = 0; i < count; i++) {
+            texts[i] = text(at);
+            at += texts[i].length() + 1;
+        }
+        require(at == body.length);
+        return texts;
+    }
+
+    /** The fields of an ErrorResponse or a notice, by their letters. */
+    public Map<Character, String> errorFields() throws ProtocolException {
+        Map<Character, String> fields = new HashMap<>();
+        int at = 0;
+        while (at < body.length && body[at] != 0) {
             String value = text(at + 1);
-            if (body[at] == field) {
-                return value;
-            }
+            fields.put((char) (body[at] & 0xff), value);
             at += 2 + value.length();
         }
-        return null;
+        require(at == body.length - 1);
+        return fields;
     }
 
-    /** The only column of a DataRow as text; null where there is no such value. */
-    public String onlyColumn() {
-        if (body.length < 6) {
-            return null;
-        }
+    /** A RowDescription of one column: its name, then 18 bytes on its table and type. */
+    public void requireOneColumnDescribed() throws ProtocolException {
+        require(body.length > 2 && ByteBuffer.wrap(body).getShort() == 1
+                && 2 + text(2).length() + 1 + 18 == body.length);
+    }
+
+    /** The only column of a DataRow as text; null where that is its value. */
+    public String onlyColumn() throws ProtocolException {
+        require(body.length >= 6 && ByteBuffer.wrap(body).getShort() == 1);
         int length = ByteBuffer.wrap(body).getInt(2);
-        return length < 0 || length > body.length - 6 ? null : new String(body, 6, length, ISO_8859_1);
+        require(Math.max(length, 0) == body.length - 6 && length >= -1);
+        return length < 0 ? null : new String(body, 6, length, ISO_8859_1);
+    }
+
+    private void require(boolean holds) throws ProtocolException {
+        if (!holds) {
+            throw new ProtocolException("08P01", "the body of message type " + (int) type + " does not fit");
+        }
     }
 
     public static byte[] startup(String user, String database) {
--- a/src/main/java/shelffront/server/HostConnection.java
+++ b/src/main/java/shelffront/server/HostConnection.java
@@ -1,10 +1,7 @@
 package shelffront.server;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
-import java.util.HashMap;
-import java.util.Map;
 import shelffront.Router.Status;
 import shelffront.net.CloseReason;
 import shelffront.net.Connection;
@@ -18,20 +15,22 @@
 
     private static final String USER = "api";
     private static final String DATABASE = "ledger";
+    private static final int GREATEST_GREETING = 8192;
+    /** An answer comes in one piece or in quick succession: one that stops half-way is spoilt. */
+    private static final long ANSWER_TIME = 250_000;
 
     final Host host;
     private final Servers servers;
     private final Deadline openBy;
     private Deadline idleUntil;
+    private Deadline answerBy;
     private boolean ready;
     private Errand errand;
     private boolean requestWritten;
-    private String errorCode;
-    private int rows;
-    private boolean complete;
-    private ByteArrayOutputStream answer = new ByteArrayOutputStream();
+    private boolean inPieces;         // part of a message has come
+    private boolean spoilt;
+    private Answer answer = new Answer();
     private int held;                 // bytes of the answer that the memory budget counts
-    private final Map<String, String> told = new HashMap<>();
 
     HostConnection(Network network, AsynchronousSocketChannel channel, Host host, Servers servers, long openBy) {
         super(network, "host", channel, Message.GREATEST);
@@ -47,13 +46,9 @@
     }
 
     void begin(Errand next, byte[] query) {
-        stopIdling();
+        cancel(idleUntil);
         errand = next;
         requestWritten = false;
-        errorCode = null;
-        rows = 0;
-        complete = false;
-        told.clear();
         write(query);
     }
 
@@ -61,10 +56,9 @@
         idleUntil = network.loop().at(time, () -> close(CloseReason.IDLE));
     }
 
-    private void stopIdling() {
-        if (idleUntil != null) {
-            idleUntil.cancel();
-            idleUntil = null;
+    private static void cancel(Deadline deadline) {
+        if (deadline != null) {
+            deadline.cancel();
         }
     }
 
@@ -82,90 +76,107 @@
     @Override
     protected void received(ByteBuffer bytes) {
         try {
-            for (Message m = Message.next(bytes); m != null && !isClosed(); m = Message.next(bytes)) {
-                take(m);
+            while (!isClosed() && (ready ? take(bytes) : greeting(bytes))) {
+                continue;
             }
         } catch (ProtocolException e) {
-            close(CloseReason.BAD_ANSWER);
+            spoilt(e.getMessage());
+            return;
+        }
+        inPieces = bytes.hasRemaining();
+        if (!isClosed() && errand != null && answerBy == null && (inPieces || answer.begun())) {
+            answerBy = network.loop().at(now() + ANSWER_TIME, () -> spoilt("it does not go on"));
         }
     }
 
-    private void take(Message m) {
-        switch (m.type()) {
-            case 'S' -> {
-                String name = m.text(0);
-                told.put(name, m.text(Math.min(m.body().length, name.length() + 1)));
-            }
-            case 'T', 'D', 'C' -> {
-                rows += m.type() == 'D' ? 1 : 0;
-                complete |= m.type() == 'C';
-                byte[] bytes = m.bytes();
-                if (errand == null || answer.size() + bytes.length > Message.GREATEST) {
-                    close(CloseReason.BAD_ANSWER);
-                    return;
-                }
-                if (!network.budget().take(bytes.length)) {
-                    close(CloseReason.NO_MEMORY);
-                    return;
-                }
-                held += bytes.length;
-                answer.writeBytes(bytes);
-                if (m.type() == 'D' && errand.attempt == null) {
-                    told.put("report", m.onlyColumn());
-                }
-            }
-            case 'E' -> {
-                errorCode = m.errorField('C');
-                if ("FATAL".equals(m.errorField('S'))) {
-                    close(CloseReason.REFUSED_BY_HOST);
-                }
-            }
-            case 'Z' -> {
-                if (!ready) {
-                    ready = true;
-                    openBy.cancel();
-                    servers.opened(this);
-                } else if (errand != null) {
-                    Errand done = errand;
-                    errand = null;
-                    Reply reply = reply();
-                    dropAnswer();
-                    servers.freed(this);     // before the outcome, whose next send may want this connection
-                    servers.finish(done, reply);
-                }
-            }
-            default -> { }      // authentication, key data and notices ask for nothing
+    private void spoilt(String why) {
+        network.log().println("spoilt answer of " + host.id + ": " + why);
+        spoilt = true;
+        close(CloseReason.BAD_ANSWER);
+    }
+
+    /** Takes a message that comes before the first ReadyForQuery; false where there is no whole one. */
+    private boolean greeting(ByteBuffer bytes) throws ProtocolException {
+        Message m = Message.next(bytes, "RSKNZE", GREATEST_GREETING);
+        if (m == null) {
+            return false;
+        }
+        if (m.type() == 'E') {
+            close(CloseReason.REFUSED_BY_HOST);
+        } else if (m.type() == 'Z' && bytes.hasRemaining()) {
+            close(CloseReason.SURPLUS);
+        } else if (m.type() == 'Z') {
+            ready = true;
+            openBy.cancel();
+            servers.opened(this);
+        }
+        return true;
+    }
+
+    /**
+     * Takes a message of the answer; false where there is no whole one. Guards against bytes that belong to no
+     * request, such as a second copy of an answer: what comes while nothing is asked, or before the request was
+     * written whole, ends the connection, or it would be read as the answer to the next request.
+     */
+    private boolean take(ByteBuffer bytes) throws ProtocolException {
+        if (!bytes.hasRemaining()) {
+            return false;
+        }
+        if (errand == null) {
+            close(CloseReason.SURPLUS);
+            return false;
+        }
+        if (!requestWritten) {
+            throw new ProtocolException("08P01", "it came before the request was written");
+        }
+        Message m = answer.next(bytes);
+        if (m == null) {
+            return false;
+        }
+        answer.take(m);
+        if (!network.budget().take(answer.size() - held)) {
+            close(CloseReason.NO_MEMORY);
+            return false;
         }
+        held = answer.size();
+        if (answer.over()) {
+            // A buffer that is full to the end may hide surplus that the socket still holds.
+            finish(bytes.hasRemaining() || bytes.limit() == bytes.capacity());
+        } else if (answer.fatal()) {
+            close(CloseReason.REFUSED_BY_HOST);
+        }
+        return true;
     }
 
-    private Reply reply() {
-        Status status;
-        if (errorCode != null) {
-            status = switch (errorCode) {
-                case "25006", "72000" -> Status.MISS;
-                case "53300", "57P03" -> Status.FULL;
-                default -> Status.ERROR;
-            };
+    private void finish(boolean surplus) {
+        Errand done = errand;
+        errand = null;
+        Reply reply = answer.reply(done.attempt == null);
+        dropAnswer();
+        if (surplus) {
+            close(CloseReason.SURPLUS);
         } else {
-            status = complete && rows == 1 ? Status.OK : Status.ERROR;
+            servers.freed(this);     // before the outcome, whose next send may want this connection
         }
-        String report = told.get("report") != null ? told.get("report") : told.get("usage");
-        return new Reply(status, Report.role(told.get("server_role")), Report.position(told.get("commit_clock")),
-                Report.read(report), status == Status.OK ? answer.toByteArray() : null);
+        servers.finish(done, reply);
     }
 
     /**
      * A connection that breaks before the request's last byte was handed to the socket proves that it never ran;
-     * after that it may have, unless the host had said how it ended.
+     * after that it may have, unless the host had said how it ended. What was spoilt proves nothing.
      */
     @Override
     protected void ended(CloseReason reason) {
         openBy.cancel();
-        stopIdling();
+        cancel(idleUntil);
         Errand broken = errand;
         errand = null;
-        boolean said = errorCode != null || complete && rows == 1;
-        Reply reply = said ? reply() : Reply.of(requestWritten ? Status.RESET : Status.CONNECT_FAILED);
+        Reply reply = null;
+        if (broken != null) {
+            boolean said = answer.whole() && !inPieces && !spoilt && reason != CloseReason.NO_MEMORY;
+            reply = said ? answer.reply(broken.attempt == null)
+                    : Reply.of(spoilt ? Status.ERROR : requestWritten ? Status.RESET : Status.CONNECT_FAILED);
+        }
         dropAnswer();
         servers.ended(this);
         if (broken != null) {
@@ -175,9 +186,11 @@
 
     /** Host connections are many and kept for long: none keeps the room that its greatest answer took. */
     private void dropAnswer() {
+        cancel(answerBy);
+        answerBy = null;
         network.budget().giveBack(held);
         held = 0;
-        answer = new ByteArrayOutputStream();
+        answer = new Answer();
     }
 
     @Override
--- a/src/main/java/shelffront/server/Report.java
+++ b/src/main/java/shelffront/server/Report.java
@@ -1,5 +1,8 @@
 package shelffront.server;
 
+import java.math.BigDecimal;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import shelffront.Router;
 import shelffront.Router.Load;
 import shelffront.Router.Role;
@@ -7,28 +10,30 @@
 /** A host's report on itself: {@code x0=1767225600.123,x1=0,queue=3}. */
 final class Report {
 
+    private static final int GREATEST = 1024;
+
+    private static final Pattern FIELD = Pattern.compile("([a-z0-9_]+)=([0-9]{1,12}(?:\\.[0-9]{1,18})?)");
+
     private Report() { }
 
-    /** The figures that the module uses; null where the text is no report. */
+    /** The figures that the module uses; null where the text is no report, for then none of it can be relied on. */
     static Load read(String text) {
-        if (text == null || text.isEmpty()) {
+        if (text == null || text.length() > GREATEST) {
             return null;
         }
         long position = Router.UNKNOWN;
         Role role = Role.UNKNOWN;
-        try {
-            for (String part : text.split(",")) {
-                int equals = part.indexOf('=');
-                String name = equals < 0 ? "" : part.substring(0, equals).trim();
-                if (name.equals("x0")) {
-                    // Rounded down: a replica taken for further than it is could serve a stale read.
-                    position = (long) Math.floor(Double.parseDouble(part.substring(equals + 1)) * 1e6);
-                } else if (name.equals("x1")) {
-                    role = Double.parseDouble(part.substring(equals + 1)) >= 0.5 ? Role.PRIMARY : Role.REPLICA;
-                }
+        for (String part : text.split(",", -1)) {
+            Matcher field = FIELD.matcher(part.strip());
+            if (!field.matches()) {
+                return null;
+            }
+            if (field.group(1).equals("x0")) {
+                // Rounded down: a replica taken for further than it is could serve a stale read.
+                position = new BigDecimal(field.group(2)).movePointRight(6).longValue();
+            } else if (field.group(1).equals("x1")) {
+                role = Double.parseDouble(field.group(2)) >= 0.5 ? Role.PRIMARY : Role.REPLICA;
             }
-        } catch (NumberFormatException e) {
-            return null;
         }
         return new Load(position, role, -1, -1, -1);
     }
@@ -39,10 +44,7 @@
 
     /** A position on the wire, in Unix milliseconds. */
     static long position(String milliseconds) {
-        try {
-            return milliseconds == null ? Router.UNKNOWN : Long.parseLong(milliseconds.trim()) * 1000;
-        } catch (NumberFormatException e) {
-            return Router.UNKNOWN;
-        }
+        return milliseconds != null && milliseconds.matches("[0-9]{1,15}") ? Long.parseLong(milliseconds) * 1000
+                : Router.UNKNOWN;
     }
 }
--- a/src/test/java/shelffront/gateway/Stage.java
+++ b/src/test/java/shelffront/gateway/Stage.java
@@ -37,7 +37,7 @@
 
     static final Path PLAYS = Path.of("src/test/resources/plays");
     private static final Path EXAMPLE = Path.of("docs/example-config.json");
-    private static final int MISSING_MS = 20_000;
+    private static final int MISSING_MS = 10_000;
 
     private final AtomicLong clock = new AtomicLong(1_800_000_000_000_000L);
     private final Map<String, ServerSocket> parties = new HashMap<>();
@@ -75,9 +75,16 @@
         String verb = words.length > 1 ? words[1] : "";
         String rest = words.length > 2 ? words[2] : "";
         switch (words[0]) {
-            case "include" -> play(PLAYS.resolveSibling(verb));
+            case "include" -> {
+                given.put("@it", named(rest));
+                play(PLAYS.resolveSibling(verb));
+            }
             case "let" -> given.put("@" + verb, rest);
-            case "listen" -> parties.put(verb, new ServerSocket(0, 50, InetAddress.getLoopbackAddress()));
+            case "listen" -> {
+                ServerSocket party = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+                party.setSoTimeout(MISSING_MS);
+                parties.put(verb, party);
+            }
             case "unlisten" -> parties.get(verb).close();
             case "gateway" -> start(named(String.join(" ", verb, rest)));
             case "clock" -> {
