Bound what clients may hold for nothing; answer an open request's id with an error

Log: silent connections left only after 10 s, those that asked once after 300 s; evict spared all that had not finished their startup, so the table filled and accepting stopped (Clients.accepted, full). Ruled out: descriptors (247 of 384) and CPU (0.36 of 0.5). Change: 2.5 s to a first whole command, 2 s for half a one, 10 s idle; at the bound the oldest that sent no command goes, then the one unused for longest. An id that is open, an empty id and a write without its key are errors, not 53300; a wait is told only where the settings allow it. Commands that wait count in the memory budget; long keys are cut. After a last error the sending side closes and input is dropped for a moment, so that a reset can't destroy it. A fault while handling a result closes its connection instead of leaving it marked as reading.

--- a/src/main/java/shelffront/client/ClientConnection.java
+++ b/src/main/java/shelffront/client/ClientConnection.java
@@ -4,6 +4,8 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.ArrayDeque;
 import java.util.Arrays;
+import shelffront.Router.ClassSettings;
+import shelffront.Router.Effect;
 import shelffront.Router.Read;
 import shelffront.gateway.Exchange;
 import shelffront.net.CloseReason;
@@ -18,9 +20,13 @@
 final class ClientConnection extends Connection implements Exchange.Asker {
 
     private static final int MOST_WAITING = 8;   // Commands read ahead of the one in work.
+    private static final String NO_MEMORY = "53200";
     private static final String TYPES = "QXSPBDECHFdcf";
-    private static final long STARTUP_TIME = 10_000_000;
-    private static final long IDLE_TIME = 300_000_000;
+    private static final int GREATEST_WAITING = 64 * 1024;   // Bytes of those after which no more is read.
+    /** From its start to its first whole command: a client that sends none is owed its end within 3 s. */
+    private static final long FIRST_COMMAND_TIME = 2_500_000;
+    private static final long HALF_COMMAND_TIME = 2_000_000;
+    private static final long IDLE_TIME = 10_000_000;
 
     /**
      * A command and when its last byte came: its time counts from there, however long it waits. Input that can't be
@@ -30,17 +36,22 @@
 
     private final Clients clients;
     private final ArrayDeque<Command> waiting = new ArrayDeque<>();
+    private final long openedAt;
     private boolean started;
+    private boolean asked;            // a whole command has come
+    private boolean half;             // part of a command has come
     private boolean skipToSync;
     private String unreadable;        // why input from here on makes no sense
     private Exchange current;
-    private int held;                 // bytes of the request and answer in hand that the memory budget counts
-    private Deadline limit;
+    private int waitingBytes;
+    private int held;                 // bytes of commands and answer in hand that the memory budget counts
+    private Deadline limit;           // on the time to the next whole command; idle while a request is in work
 
     ClientConnection(Clients clients, AsynchronousSocketChannel channel) {
         super(clients.network, "client", channel, Message.GREATEST);
         this.clients = clients;
-        limit = clients.network.loop().at(now() + STARTUP_TIME, () -> close(CloseReason.STARTUP_TIMEOUT));
+        openedAt = now();
+        limit = clients.network.loop().at(openedAt + FIRST_COMMAND_TIME, () -> close(CloseReason.STARTUP_TIMEOUT));
         start();
     }
 
@@ -49,13 +60,14 @@
         return current == null && waiting.isEmpty() && drained();
     }
 
-    boolean hasStarted() {
-        return started;
+    /** Since when it has been open without a whole command; long after now where one has come. */
+    long silentSince() {
+        return asked ? Long.MAX_VALUE : openedAt;
     }
 
     @Override
     protected boolean wantsInput() {
-        return unreadable == null && waiting.size() < MOST_WAITING;
+        return unreadable == null && waiting.size() < MOST_WAITING && waitingBytes < GREATEST_WAITING;
     }
 
     @Override
@@ -69,14 +81,35 @@
                 if (message == null) {
                     break;
                 }
+                // Guards the heap: what waits its turn is counted like what is in work.
+                if (!hold(message.body().length)) {
+                    throw new ProtocolException(NO_MEMORY, "there is no room for the command");
+                }
+                waitingBytes += message.body().length;
                 waiting.add(new Command(message, now(), null, null));
+                asked = true;
             }
         } catch (ProtocolException e) {
-            unreadable(e, e.code().equals(Message.TOO_LARGE) ? CloseReason.TOO_LARGE : CloseReason.MALFORMED);
+            unreadable(e, switch (e.code()) {
+                case Message.TOO_LARGE -> CloseReason.TOO_LARGE;
+                case NO_MEMORY -> CloseReason.NO_MEMORY;
+                default -> CloseReason.MALFORMED;
+            });
+        }
+        boolean begun = !half && bytes.hasRemaining();
+        half = bytes.hasRemaining();
+        if (begun && asked && isIdle()) {
+            idle();
         }
         work();
     }
 
+    private boolean hold(int bytes) {
+        boolean taken = network.budget().take(bytes);
+        held += taken ? bytes : 0;
+        return taken;
+    }
+
     private void unreadable(ProtocolException why, CloseReason reason) {
         unreadable = why.getMessage();
         waiting.add(new Command(null, now(), why, reason));
@@ -104,27 +137,32 @@
                 write(Message.parameterStatus("client_encoding", "UTF8"));
                 write(Message.parameterStatus("standard_conforming_strings", "on"));
                 write(Message.readyForQuery());
-                idle();
             }
         }
         return !started;
     }
 
+    /** Guards against clients that hold a connection with half a command, or for good. */
     private void idle() {
         limit.cancel();
-        limit = network.loop().at(now() + IDLE_TIME, () -> close(CloseReason.IDLE));
+        limit = network.loop().at(now() + (half ? HALF_COMMAND_TIME : IDLE_TIME), () -> close(CloseReason.IDLE));
+        clients.used(this);
     }
 
     /** Takes up commands while none is in work and the answers before have gone out: output stays bounded. */
     private void work() {
         while (!isClosed() && current == null && drained() && !waiting.isEmpty()) {
             Command command = waiting.poll();
+            waitingBytes -= command.message() == null ? 0 : command.message().body().length;
             try {
                 take(command);
             } catch (ProtocolException e) {
                 network.counters().add(Counters.Name.REQUESTS_INVALID);
                 answer(Message.error(false, e.code(), e.getMessage(), null));
             }
+            if (current == null && command.message() != null && !isClosed()) {
+                idle();
+            }
         }
         readMore();
     }
@@ -167,20 +205,21 @@
         }
         Statement statement = Statement.read(bytes);
         int classIndex = clients.classIndex(statement.value("c"));
-        Read read = clients.classes.get(classIndex).read();
+        ClassSettings type = clients.classes.get(classIndex);
+        Read read = type.read();
+        if (type.effect() == Effect.KEYED && statement.value("k") == null) {
+            throw new ProtocolException("42601", "the class needs a key k");
+        }
         long deadline = arrival + statement.number("d", 0) * 1000L;
         // Read before the request is taken up: a fault found later would leave it in work for ever.
         int group = statement.number("cluster", 0);
         String session = read == Read.WRITE || read == Read.SESSION ? statement.key() : null;
+        Exchange exchange = new Exchange(statement.value("id"), statement, classIndex, deadline, this);
+        clients.taker.check(exchange);
         network.counters().add(Counters.Name.REQUESTS_TAKEN);
-        if (!network.budget().take(bytes.length)) {
-            refused(Exchange.BUSY_WAIT);
-            return;
-        }
-        held = bytes.length;
         limit.cancel();
-        current = new Exchange(statement.value("id"), statement, classIndex, deadline, this);
-        clients.taker.take(current, session, group, "1".equals(statement.value("r")));
+        current = exchange;
+        clients.taker.take(exchange, session, group, "1".equals(statement.value("r")));
     }
 
     private static boolean blank(byte[] statement) {
@@ -194,11 +233,10 @@
 
     @Override
     public void served(byte[] messages) {
-        if (!network.budget().take(messages.length)) {
+        if (!hold(messages.length)) {
             failed();                // there is no room to keep the value until the client takes it
             return;
         }
-        held += messages.length;
         network.counters().add(Counters.Name.ANSWERS_SERVED);
         over(messages);
     }
@@ -230,15 +268,15 @@
 
     @Override
     protected void written() {
-        network.budget().giveBack(held);
-        held = 0;
+        network.budget().giveBack(held - waitingBytes);
+        held = waitingBytes;
         work();
         clients.finished(this);
     }
 
     @Override
     protected void refuse(CloseReason reason) {
-        unreadable(new ProtocolException(reason == CloseReason.NO_MEMORY ? "53200" : Message.TOO_LARGE,
+        unreadable(new ProtocolException(reason == CloseReason.NO_MEMORY ? NO_MEMORY : Message.TOO_LARGE,
                 "the message is too large"), reason);
         work();
     }
--- a/src/main/java/shelffront/client/Clients.java
+++ b/src/main/java/shelffront/client/Clients.java
@@ -22,6 +22,9 @@
     /** Takes requests in; each is answered through its exchange. */
     public interface Taker {
 
+        /** Throws where the request can't be taken for what it says; nothing has been done then. */
+        void check(Exchange exchange) throws ProtocolException;
+
         void take(Exchange exchange, String session, int group, boolean repeat);
 
         /** The client waits no longer; no answer is owed. */
@@ -29,6 +32,7 @@
     }
 
     private static final int BACKLOG = 1024;
+    private static final long SILENT = 100_000;   // A client sends its startup and first command at once.
     private static final long ACCEPT_PAUSE = 20_000;
 
     final Network network;
@@ -85,14 +89,30 @@
         }
     }
 
+    /**
+     * Guards against those who connect and say nothing, or ask once and stay, taking the place of the others: the
+     * first to go is one that has sent no command, then the one unused for longest.
+     */
     private boolean evict() {
+        ClientConnection victim = null;
         for (ClientConnection c : connections) {
-            if (c.hasStarted() && c.isIdle()) {
-                c.close(CloseReason.EVICTED);
-                return true;
+            if (c.isIdle() && c.silentSince() < network.loop().now() - SILENT) {
+                victim = c;
+                break;
             }
+            victim = victim == null && c.isIdle() ? c : victim;
+        }
+        if (victim != null) {
+            victim.close(CloseReason.EVICTED);
+        }
+        return victim != null;
+    }
+
+    /** Keeps the connections in the order of their last use. */
+    void used(ClientConnection connection) {
+        if (connections.remove(connection)) {
+            connections.add(connection);
         }
-        return false;
     }
 
     int classIndex(String name) throws ProtocolException {
--- a/src/main/java/shelffront/gateway/Exchange.java
+++ b/src/main/java/shelffront/gateway/Exchange.java
@@ -22,9 +22,6 @@
         void failed();
     }
 
-    /** When a client that found no room here may come again. */
-    public static final long BUSY_WAIT = 200_000;
-
     public final String id;
     public final Statement statement;
     /** By this time the client has its answer; Unix microseconds, as are all times. */
--- a/src/main/java/shelffront/gateway/Gateway.java
+++ b/src/main/java/shelffront/gateway/Gateway.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import shelffront.Decide;
 import shelffront.Router;
+import shelffront.Router.Limits;
 import shelffront.Router.ListKind;
 import shelffront.Router.Outcome;
 import shelffront.Router.Request;
@@ -20,6 +21,7 @@
 import shelffront.net.Counters;
 import shelffront.net.Network;
 import shelffront.net.TurnLoop;
+import shelffront.pg.ProtocolException;
 import shelffront.server.Reply;
 import shelffront.server.Servers;
 
@@ -28,6 +30,8 @@
 
     /** Connections arrive for 0.4 s after the order to stop; those that stay idle longer are closed. */
     private static final long LAST_ARRIVALS = 500_000;
+    /** When a client that found no room here may come again. */
+    private static final long BUSY_WAIT = 200_000;
     private static final long DRAIN_CHECK = 20_000;
     /** Of the descriptors: half for clients, three eighths for hosts, the rest for files, discovery and the JVM. */
     private static final double CLIENT_SHARE = 0.5;
@@ -102,10 +106,19 @@
 
     // ---- From the client side ---------------------------------------------------------------------------------
 
+    /** Guards an open request against another one under its id. */
+    @Override
+    public void check(Exchange exchange) throws ProtocolException {
+        if (exchanges.containsKey(exchange.id)) {
+            throw new ProtocolException("42710", "a request with this id is open");
+        }
+    }
+
     @Override
     public void take(Exchange exchange, String session, int group, boolean repeat) {
-        if (exchanges.size() >= config.openCap() || exchanges.containsKey(exchange.id)) {
-            exchange.asker.refused(Exchange.BUSY_WAIT);
+        if (exchanges.size() >= config.openCap()) {
+            Limits limits = config.settings().limits();
+            exchange.asker.refused(limits.retryAfter() ? Math.min(limits.maxRetryAfter(), BUSY_WAIT) : 0);
             return;
         }
         exchanges.put(exchange.id, exchange);
--- a/src/main/java/shelffront/net/Connection.java
+++ b/src/main/java/shelffront/net/Connection.java
@@ -16,6 +16,8 @@
 public abstract class Connection {
 
     private static final int FIRST_BUFFER = 4096;
+    private static final long LINGER = 500_000;
+    private static final int GREATEST_DROPPED = 1 << 20;
     private static final long STALL = 10_000_000;  // A peer that takes nothing for so long is given up.
 
     protected final Network network;
@@ -30,6 +32,7 @@
     private boolean reading;
     private CloseReason peerEnded;
     private CloseReason closeWhenWritten;
+    private int toDrop;               // bytes still read for nothing while a connection ends
     private boolean closed;
 
     protected Connection(Network network, String kind, AsynchronousSocketChannel channel, int greatestBuffer) {
@@ -107,11 +110,15 @@
             // end may be seen before it, and taken alone would pass for "never ran".
             peerEnded = failure != null ? CloseReason.PEER_RESET : CloseReason.PEER_CLOSED;
             if (writing == null) {
-                close(peerEnded);
+                close(closeWhenWritten != null ? closeWhenWritten : peerEnded);
             }
             return;
         }
         network.counters().add(Counters.Name.BYTES_IN, count);
+        if (toDrop > 0) {
+            drop(count);
+            return;
+        }
         // Still marked as reading: a read begun from within would fill the buffer while it is being parsed.
         offer();
         reading = false;
@@ -157,14 +164,40 @@
         }
     }
 
-    /** Writes what is waiting, then closes; nothing is read or written after. */
+    /** Writes what is waiting, then closes; nothing more is written, and what still comes is dropped. */
     protected final void closeWhenWritten(CloseReason reason) {
         closeWhenWritten = closeWhenWritten == null ? reason : closeWhenWritten;
         if (drained()) {
+            linger();
+        }
+    }
+
+    /** Guards the last output: a socket closed with input unread is reset, which may destroy what was just written. */
+    private void linger() {
+        try {
+            channel.shutdownOutput();
+        } catch (IOException e) {
             close(closeWhenWritten);
+            return;
+        }
+        stall = network.loop().at(now() + LINGER, () -> close(closeWhenWritten));
+        toDrop = GREATEST_DROPPED;
+        if (!reading) {
+            drop(0);
         }
     }
 
+    private void drop(int count) {
+        toDrop -= count;
+        if (toDrop <= 0) {
+            close(closeWhenWritten);
+            return;
+        }
+        reading = true;
+        input.clear();
+        channel.read(input, null, handler(this::onRead));
+    }
+
     final void flush() {
         if (closed || !connected || writing != null || output.isEmpty()) {
             return;
@@ -200,7 +233,7 @@
         if (peerEnded != null) {
             close(peerEnded);
         } else if (closeWhenWritten != null && output.isEmpty()) {
-            close(closeWhenWritten);
+            linger();
         }
     }
 
@@ -240,8 +273,14 @@
 
             private void pass(T result, Throwable failure) {
                 network.loop().post(() -> {
-                    if (!closed) {
-                        then.accept(result, failure);
+                    try {
+                        if (!closed) {
+                            then.accept(result, failure);
+                        }
+                    } catch (RuntimeException e) {
+                        network.counters().add(Counters.Name.FAULTS);
+                        e.printStackTrace();
+                        close(CloseReason.FAULT);   // or it would stay open, marked as reading, and never read again
                     }
                 });
             }
--- a/src/main/java/shelffront/pg/Statement.java
+++ b/src/main/java/shelffront/pg/Statement.java
@@ -12,6 +12,7 @@
 public final class Statement {
 
     private static final int GREATEST_COMMENT = 1024;
+    private static final int GREATEST_KEY = 64;
 
     private final byte[] bytes;
     private final Map<String, String> values = new HashMap<>();
@@ -41,6 +42,9 @@
         if (statement.waitFrom < 0 || statement.value("id") == null || statement.value("c") == null) {
             throw new ProtocolException("42601", "the request comment lacks id, c or d");
         }
+        if (!statement.value("id").matches("[0-9A-Za-z_.:-]{1,64}")) {
+            throw new ProtocolException("42601", "id is not an id");
+        }
         return statement;
     }
 
@@ -86,7 +90,12 @@
     public String key() {
         int from = indexOf('\'', commentEnd);
         int to = from < 0 ? -1 : indexOf('\'', from + 1);
-        return to < 0 ? null : new String(bytes, from + 1, to - from - 1, ISO_8859_1);
+        if (to < 0) {
+            return null;
+        }
+        String key = new String(bytes, from + 1, to - from - 1, ISO_8859_1);
+        // Guards the memory of sessions; two long keys taken for one only make its reads wait for either's write.
+        return key.length() <= GREATEST_KEY ? key : key.substring(0, GREATEST_KEY) + "#" + key.hashCode();
     }
 
     private int indexOf(char wanted, int from) {
--- a/src/test/java/shelffront/gateway/Stage.java
+++ b/src/test/java/shelffront/gateway/Stage.java
@@ -141,7 +141,8 @@
     private void start(String members) throws Exception {
         String known = "{\"revision\":41,\"complete\":true,\"members\":[" + members + "]}";
         GatewayConfig config = new GatewayConfig("n0", new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                GatewayConfig.address(named("$d")), 7, 1024, 100,
+                GatewayConfig.address(named("$d")), 7,
+                Integer.parseInt(given.getOrDefault("@sockets", "1024")), 100,
                 SettingsReader.read((Map<?, ?>) Json.object(Files.readString(EXAMPLE)).get("settings")),
                 MemberList.read(Json.object(known)));
         PrintStream lines = new PrintStream(new ByteArrayOutputStream()) {
