--- a/src/test/java/shelffront/adapter/AdapterIT.java
+++ b/src/test/java/shelffront/adapter/AdapterIT.java
@@ -97,7 +97,7 @@
         for (String[] arguments : List.of(new String[] {}, new String[] {"adapter"}, new String[] {"benchlink", "x"})) {
             Result r = run("", arguments);
             assertEquals(2, r.code);
-            assertEquals(List.of("usage: java -jar shelffront.jar serve|benchlink"), r.err);
+            assertEquals(List.of("usage: java -jar shelffront.jar serve|benchlink|rehearse"), r.err);
         }
     }
 }
