--- a/src/main/java/shelffront/Decide.java
+++ b/src/main/java/shelffront/Decide.java
@@ -777,10 +777,10 @@
                 slowness(n, (now - a.sentAt) / usual[c]);
                 weigh(n, Math.max(now - a.sentAt, n.took), type);
             }
-            // Thin proof of a dead member: one that is well loses connections too. It is probed; after several
-            // in a row, or one that takes too long to set up, it is left out for a moment. Refused at once, its
-            // table may be full and idle ones are given back for a while; where setting up takes too long, what
-            // is open is kept.
+            // Thin proof of a dead member: one that is well loses connections too. It is probed; after
+            // several in a row, or one that takes too long to set up, it is left out for a moment. Refused at
+            // once, its table may be full and idle ones are given back for a while; where setting up takes
+            // too long, those that are open are kept.
             case CONNECT_FAILED, RESET -> {
                 n.connectedUntil = UNKNOWN;
                 boolean unmade = o.status() == Status.CONNECT_FAILED;
