Count limits on first connections from a fresh clock, and make them in a turn of their own

Cause: Gateway.start made them in one go with loading classes under part of a core, and the limits of 250 ms counted from the turn's time at its start (TurnLoop.now). Ruled out: the hosts (the next connections come up at once). Change: the last known list goes to the module in a turn of its own, and limits on connections count from the clock. Test: TurnLoopTest.

--- a/src/main/java/shelffront/gateway/Gateway.java
+++ b/src/main/java/shelffront/gateway/Gateway.java
@@ -66,8 +66,10 @@
         loop.tick();                 // Loading took a while: time limits set here would else be over at once.
         servers.listed(config.known());
         router.onStart(loop.now(), config.seed(), config.settings());
-        router.onMembers(loop.now(), ListKind.REMEMBERED, config.known().revision(), config.known().members());
         clients.accept();
+        // In a turn of its own: the first connections to hosts would else be late before the loop looks at them.
+        loop.post(() -> router.onMembers(loop.now(), ListKind.REMEMBERED, config.known().revision(),
+                config.known().members()));
     }
 
     /**
--- a/src/main/java/shelffront/net/TurnLoop.java
+++ b/src/main/java/shelffront/net/TurnLoop.java
@@ -67,6 +67,12 @@
         return deadline;
     }
 
+    /** Counts from the clock as it is now: the turn's own time is old where what came before took long. */
+    public Deadline after(long delay, Runnable task) {
+        tick();
+        return at(now + delay, task);
+    }
+
     void flushLater(Connection connection) {
         toFlush.add(connection);
     }
--- a/src/main/java/shelffront/server/HostConnection.java
+++ b/src/main/java/shelffront/server/HostConnection.java
@@ -32,11 +32,11 @@
     private Answer answer = new Answer();
     private int held;                 // bytes of the answer that the memory budget counts
 
-    HostConnection(Network network, AsynchronousSocketChannel channel, Host host, Servers servers, long openBy) {
+    HostConnection(Network network, AsynchronousSocketChannel channel, Host host, Servers servers, long openWithin) {
         super(network, "host", channel, Message.GREATEST);
         this.host = host;
         this.servers = servers;
-        this.openBy = network.loop().at(openBy, () -> close(CloseReason.CONNECT_TIMEOUT));
+        this.openBy = network.loop().after(openWithin, () -> close(CloseReason.CONNECT_TIMEOUT));
         write(Message.startup(USER, DATABASE));
         connect(host.address);
     }
--- a/src/main/java/shelffront/server/Servers.java
+++ b/src/main/java/shelffront/server/Servers.java
@@ -86,8 +86,7 @@
     public void probe(String member) {
         Errand errand = new Errand(member, hosts.get(member), null, network.loop().now());
         network.counters().add(Counters.Name.PROBES_SENT);
-        errand.endBy = network.loop().at(network.loop().now() + limits.connectTimeout(),
-                () -> giveUp(errand, Status.TIMEOUT));
+        errand.endBy = network.loop().after(limits.connectTimeout(), () -> giveUp(errand, Status.TIMEOUT));
         begin(errand);
     }
 
@@ -125,7 +124,7 @@
             carry(connection, errand);
             return;
         }
-        errand.connectBy = network.loop().at(network.loop().now() + limits.connectTimeout(),
+        errand.connectBy = network.loop().after(limits.connectTimeout(),
                 () -> giveUp(errand, Status.CONNECT_FAILED));
         host.waiting.add(errand);
         if (host.opening < host.waiting.size()) {
@@ -148,8 +147,7 @@
         connections++;
         host.opening++;
         network.counters().add(Counters.Name.HOST_CONNECTIONS_OPENED);
-        host.connections.add(new HostConnection(network, channel, host, this,
-                network.loop().now() + limits.connectTimeout()));
+        host.connections.add(new HostConnection(network, channel, host, this, limits.connectTimeout()));
     }
 
     private boolean evict() {
