Count a host's answer time from when the request went out, not from the wait to connect

Cause: Gateway.ended told the module the time since the attempt began; connections that came up late under part of a core made each host look several times slower than usual, and Decide.inTime then sent it no read. Ruled out: positions (probes answered) and members left out (one line in the log). Change: the time counts from when the request is written to a connection. Test: wait-for-connection.play, in which the next read was held instead of sent.

--- a/src/main/java/shelffront/gateway/Attempt.java
+++ b/src/main/java/shelffront/gateway/Attempt.java
@@ -6,6 +6,8 @@
     public final Exchange exchange;
     public final String member;
     public final long startedAt;
+    /** When a connection was there and the request was written to it; its start until then. */
+    public long sentAt;
     final int number;
     boolean out = true;
 
@@ -13,6 +15,7 @@
         this.exchange = exchange;
         this.member = member;
         this.startedAt = startedAt;
+        this.sentAt = startedAt;
         this.number = exchange.attempts.size();
     }
 }
--- a/src/main/java/shelffront/gateway/Gateway.java
+++ b/src/main/java/shelffront/gateway/Gateway.java
@@ -149,8 +149,11 @@
             exchange.answered = true;
             exchange.asker.served(reply.messages());
         }
+        // From when the request went out: guards against taking the wait for a connection, which may be this program's
+        // own in its first seconds, for slowness of the host.
+        long took = loop.now() - attempt.sentAt;
         router.onOutcome(loop.now(), new Outcome(exchange.id, attempt.number, attempt.member, reply.status(),
-                exchange.answered, loop.now() - attempt.startedAt, reply.role(), reply.position(), reply.load()));
+                exchange.answered, took, reply.role(), reply.position(), reply.load()));
         forget(exchange);
     }
 
--- a/src/main/java/shelffront/server/Servers.java
+++ b/src/main/java/shelffront/server/Servers.java
@@ -191,6 +191,7 @@
             connection.begin(errand, PROBE);
             return;
         }
+        errand.attempt.sentAt = network.loop().now();
         long left = errand.attempt.exchange.deadline - network.loop().now();
         connection.begin(errand, Message.query(errand.attempt.exchange.statement.withWait(Math.max(1, left / 1000))));
     }
