Work out a refusal's wait in one place, and drop what the network already holds

Found on reading the whole change again. The rule for the told wait stood in Decide and again in Gateway: Limits.toldWait serves both. Reload and Rehearsal took loop and log beside the network that has them. Main.serve had a flag for two commands. Attempt.startedAt was no longer read. ServeIT built its process twice.

--- a/src/main/java/shelffront/Decide.java
+++ b/src/main/java/shelffront/Decide.java
@@ -684,8 +684,7 @@
         if (p.type.effect() == Effect.REPEATABLE || p.mayHaveRun() == null
                 || p.type.effect() == Effect.KEYED && p.type.scope() == Scope.ALL) {
             long wait = p.group.primary == null ? 1_000_000 : 200_000;   // usual length of what is in the way
-            actions.reject(p.request.id(),
-                    settings.limits().retryAfter() ? Math.min(settings.limits().maxRetryAfter(), wait) : 0);
+            actions.reject(p.request.id(), settings.limits().toldWait(wait));
         } else {
             actions.fail(p.request.id());
         }
--- a/src/main/java/shelffront/Main.java
+++ b/src/main/java/shelffront/Main.java
@@ -36,8 +36,8 @@
         String command = args.length == 1 ? args[0] : "";
         try {
             switch (command) {
-                case "serve" -> serve(false);
-                case "rehearse" -> serve(true);
+                case "serve" -> serve();
+                case "rehearse" -> Rehearsal.run(System.getenv(), network());
                 case "benchlink" -> new Wire(new FileInputStream(FileDescriptor.in),
                         new FileOutputStream(FileDescriptor.out)).run();
                 default -> {
@@ -53,16 +53,17 @@
         }
     }
 
-    private static void serve(boolean rehearse) throws IOException, MalformedInputException, InterruptedException {
+    private static Network network() throws IOException {
         Counters counters = new Counters();
         TurnLoop loop = new TurnLoop(() -> ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()), counters);
-        PrintStream log = new PrintStream(new FileOutputStream(FileDescriptor.out), true);
-        Network network = Network.open(loop, new Budget(BUFFER_BYTES), counters, log);
-        if (rehearse) {
-            Rehearsal.run(System.getenv(), loop, network, log);
-            return;
-        }
+        return Network.open(loop, new Budget(BUFFER_BYTES), counters,
+                new PrintStream(new FileOutputStream(FileDescriptor.out), true));
+    }
+
+    private static void serve() throws IOException, MalformedInputException, InterruptedException {
         GatewayConfig config = GatewayConfig.fromEnvironment(System.getenv());
+        Network network = network();
+        TurnLoop loop = network.loop();
         Gateway gateway = new Gateway(network, config);
         CountDownLatch stopped = new CountDownLatch(1);
         // The process ends when its hooks return, so the hook stays until all that was taken is answered.
@@ -74,14 +75,14 @@
                 Thread.currentThread().interrupt();
             }
         }, "stop"));
-        Reload reload = new Reload(loop, gateway, System.getenv(), log);
+        Reload reload = new Reload(network, gateway, System.getenv());
         // Before the gateway is ready: without a handler the JVM ends on SIGHUP.
         Signal.handle(new Signal("HUP"), signal -> reload.ask());
         gateway.start();
-        log.println("gateway " + config.name() + " listens on " + gateway.address() + ", discovery is "
+        network.log().println("gateway " + config.name() + " listens on " + gateway.address() + ", discovery is "
                 + config.discovery());
         loop.run();
-        log.flush();
+        network.log().flush();
         stopped.countDown();
     }
 }
--- a/src/main/java/shelffront/Router.java
+++ b/src/main/java/shelffront/Router.java
@@ -64,7 +64,13 @@
 
     /** What the site permits; a connection that takes longer than its limit to set up fails. */
     record Limits(int attempts, long maxRetryAfter, boolean retryAfter, boolean cancel, boolean duplicate,
-            boolean probe, boolean tell, long connectTimeout, long connectionIdle) { }
+            boolean probe, boolean tell, long connectTimeout, long connectionIdle) {
+
+        /** The wait that a refusal may tell of; 0, which is no advice, where the site does not permit any. */
+        public long toldWait(long wait) {
+            return retryAfter ? Math.min(maxRetryAfter, wait) : 0;
+        }
+    }
 
     /** Everything an instance is told at its start. {@code tick} is the shortest time between two events. */
     record Settings(int self, int routers, String zone, long tick, List<ClassSettings> classes, LagCheck check,
--- a/src/main/java/shelffront/gateway/Attempt.java
+++ b/src/main/java/shelffront/gateway/Attempt.java
@@ -5,17 +5,15 @@
 
     public final Exchange exchange;
     public final String member;
-    public final long startedAt;
-    /** When a connection was there and the request was written to it; its start until then. */
+    /** When a connection was there and the request was written to it; until then when it began. */
     public long sentAt;
     final int number;
     boolean out = true;
 
-    Attempt(Exchange exchange, String member, long startedAt) {
+    Attempt(Exchange exchange, String member, long now) {
         this.exchange = exchange;
         this.member = member;
-        this.startedAt = startedAt;
-        this.sentAt = startedAt;
+        this.sentAt = now;
         this.number = exchange.attempts.size();
     }
 }
--- a/src/main/java/shelffront/gateway/Gateway.java
+++ b/src/main/java/shelffront/gateway/Gateway.java
@@ -8,7 +8,6 @@
 import java.util.function.Consumer;
 import shelffront.Decide;
 import shelffront.Router;
-import shelffront.Router.Limits;
 import shelffront.Router.ListKind;
 import shelffront.Router.Outcome;
 import shelffront.Router.Request;
@@ -120,8 +119,7 @@
     @Override
     public void take(Exchange exchange, String session, int group, boolean repeat) {
         if (exchanges.size() >= config.openCap()) {
-            Limits limits = config.settings().limits();
-            exchange.asker.refused(limits.retryAfter() ? Math.min(limits.maxRetryAfter(), BUSY_WAIT) : 0);
+            exchange.asker.refused(config.settings().limits().toldWait(BUSY_WAIT));
             return;
         }
         exchanges.put(exchange.id, exchange);
--- a/src/main/java/shelffront/rehearsal/Rehearsal.java
+++ b/src/main/java/shelffront/rehearsal/Rehearsal.java
@@ -6,7 +6,6 @@
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.OutputStream;
-import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -16,7 +15,6 @@
 import shelffront.config.MalformedInputException;
 import shelffront.gateway.Gateway;
 import shelffront.net.Network;
-import shelffront.net.TurnLoop;
 import shelffront.pg.Message;
 
 /**
@@ -40,7 +38,7 @@
     private Rehearsal() throws IOException { }
 
     /** Runs to its end with the classes of the configuration that the environment names. */
-    public static void run(Map<String, String> environment, TurnLoop loop, Network network, PrintStream log)
+    public static void run(Map<String, String> environment, Network network)
             throws IOException, MalformedInputException, InterruptedException {
         Rehearsal rehearsal = new Rehearsal();
         GatewayConfig given = GatewayConfig.fromEnvironment(environment);
@@ -57,12 +55,12 @@
                 client.setSoTimeout(PATIENCE_MS);
                 ask(given, new DataInputStream(client.getInputStream()), client.getOutputStream());
             } catch (IOException e) {
-                log.println("rehearsal: " + e);
+                network.log().println("rehearsal: " + e);
             }
-            loop.post(gateway::drain);
+            network.loop().post(gateway::drain);
         });
         gateway.start();
-        loop.run();
+        network.loop().run();
     }
 
     private static void inBackground(Runnable task) {
--- a/src/test/java/shelffront/ServeIT.java
+++ b/src/test/java/shelffront/ServeIT.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.Rule;
 import org.junit.Test;
@@ -29,12 +30,8 @@
         Path file = folder.newFile("config.json").toPath();
         try (ServerSocket before = listen(); ServerSocket after = listen()) {
             write(file, before);
-            ProcessBuilder builder = new ProcessBuilder("java", "-jar", "target/shelffront.jar", "serve");
-            builder.environment().keySet().removeIf(name -> name.startsWith("BALANCER_"));
-            builder.environment().put("BALANCER_CONFIG", file.toString());
-            builder.environment().put("BALANCER_LISTEN", "127.0.0.1:0");
-            builder.environment().put("BALANCER_DISCOVERY", address(before));
-            Process gateway = builder.redirectErrorStream(true).start();
+            Process gateway = start("serve", Map.of("BALANCER_CONFIG", file.toString(),
+                    "BALANCER_LISTEN", "127.0.0.1:0", "BALANCER_DISCOVERY", address(before)));
             try (BufferedReader log = gateway.inputReader(); Socket watch = before.accept()) {
                 await(log, "listens on");
                 write(file, after);
@@ -56,10 +53,7 @@
     /** Guards the build's last step, which leaves the archive of classes, and through it the first seconds. */
     @Test
     public void rehearsesEveryClassOfRequest() throws Exception {
-        ProcessBuilder builder = new ProcessBuilder("java", "-jar", "target/shelffront.jar", "rehearse");
-        builder.environment().keySet().removeIf(name -> name.startsWith("BALANCER_"));
-        builder.environment().put("BALANCER_CONFIG", "docs/example-config.json");
-        Process rehearsal = builder.redirectErrorStream(true).start();
+        Process rehearsal = start("rehearse", Map.of("BALANCER_CONFIG", "docs/example-config.json"));
         try (BufferedReader log = rehearsal.inputReader()) {
             await(log, "answers_served=200 ");
             assertTrue(rehearsal.waitFor(MISSING_MS, TimeUnit.MILLISECONDS));
@@ -69,6 +63,13 @@
         }
     }
 
+    private static Process start(String command, Map<String, String> environment) throws IOException {
+        ProcessBuilder builder = new ProcessBuilder("java", "-jar", "target/shelffront.jar", command);
+        builder.environment().keySet().removeIf(name -> name.startsWith("BALANCER_"));
+        builder.environment().putAll(environment);
+        return builder.redirectErrorStream(true).start();
+    }
+
     private static ServerSocket listen() throws IOException {
         ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         socket.setSoTimeout(MISSING_MS);
--- a/src/test/java/shelffront/gateway/Stage.java
+++ b/src/test/java/shelffront/gateway/Stage.java
@@ -156,8 +156,9 @@
                 log.add(line.toString());
             }
         };
-        gateway = new Gateway(Network.open(loop, new Budget(1 << 20), counters, lines), config);
-        reload = new Reload(loop, gateway, Map.of("BALANCER_CONFIG", file.toString()), lines);
+        Network network = Network.open(loop, new Budget(1 << 20), counters, lines);
+        gateway = new Gateway(network, config);
+        reload = new Reload(network, gateway, Map.of("BALANCER_CONFIG", file.toString()));
         gateway.start();
         turns = new Thread(() -> {
             try {
