Turn the build into a reactor of core and gateway, and Decide into a package by concern

Need: many tenants, a lab and further deciders need modules with arrows that run one way; Decide in one file left no room for them, and Exchange stood above the packages that use it.

Gateway holds the rest; Exchange and Attempt have a package of their own. No behaviour is changed.

--- /dev/null
+++ b/core/src/main/java/shelffront/decide/Health.java
@@ -0,0 +1,151 @@
+package shelffront.decide;
+
+import static shelffront.route.Router.UNKNOWN;
+
+import shelffront.route.Router.ClassSettings;
+import shelffront.route.Router.Outcome;
+import shelffront.route.Router.Status;
+
+/** Whether a member may be tried, and how much at a time: what its answers and its silence say. */
+record Health(State state, Guards guards, Membership membership, Positions positions) {
+
+    /** A member is silent when the unanswered waits of all it holds reach this many usual answer times. */
+    static final double SILENT_WAITS = 8;
+    /** First ban of a failing member; doubles with each failure up to the greatest. */
+    static final long BAN = 300_000;
+    static final long BAN_MOST = 2_400_000;
+    static final long PAUSE = 40_000;  // First one after a refused connection or failed probe.
+    static final int BREAKS = 2;  // Lost connections in a row that tell nothing of a member.
+    static final long SCARCE = 20_000_000;  // Connections stay scarce after a refused one.
+    /** Smoothed answer time, as a share of the aim, above which a member is given less at a time. */
+    static final double FULL_LOAD = 0.4;
+    static final double SMOOTHING = 1_000_000;  // Of a member's answers, however many there are.
+    static final double MOST_SLOW = 10;  // Usual answer times that one answer counts at most.
+
+    /** Whether a member may be tried: listed, not banned, not silent, one at a time on trial. */
+    boolean healthy(Node n, Pending p) {
+        if (!n.open || state.now < n.bannedUntil
+                || n.onTrial && (!n.out.isEmpty() || p.type.once())) {
+            return false;
+        }
+        if (silent(n)) {
+            ban(n, "is silent");
+            return false;
+        }
+        return guards.withinColdBudget(p, n);
+    }
+
+    boolean silent(Node n) {
+        double waits = 0;
+        for (Attempt a : n.out) {
+            waits += (state.now - Math.max(n.answeredAt, a.sentAt)) / state.usual(a.request);
+        }
+        return state.now - n.answeredAt >= n.took / 2
+                && waits > SILENT_WAITS * Math.max(1, Math.min(3, slow(n)));
+    }
+
+    void ban(Node n, String why) {
+        n.bannedUntil = state.now + Math.min(BAN_MOST, BAN << Math.min(5, n.failures));
+        n.onTrial = true;
+        n.limit = Math.max(1, n.limit / 2);
+        pause(n, why);
+    }
+
+    /** Leaves a member out for a moment that doubles with each failure in a row. */
+    void pause(Node n, String why) {
+        long pause = Math.min(BAN_MOST, PAUSE << Math.min(6, n.failures++));
+        n.bannedUntil = Math.max(n.bannedUntil, state.now + pause);
+        state.note(n.id + " " + why);
+        state.at(null, n.bannedUntil, () -> state.changed.accept(n.group));
+    }
+
+    /** Whether a member may get one more now; a limit under one spaces requests out instead. */
+    boolean hasRoom(Node n, double share) {
+        double limit = n.limit * guards.warmth(n) * share;
+        return n.out.size() < limit && (limit >= 1 || state.now > n.sentAt + n.took / limit);
+    }
+
+    /** What an outcome says about the member's health and load. */
+    void judge(Attempt a, Outcome o) {
+        Node n = a.node;
+        ClassSettings type = a.request.type;
+        int c = a.request.request.classIndex();
+        if (o.status() == Status.FULL) {
+            n.answeredAt = state.now;
+            slowness(n, MOST_SLOW);
+        }
+        switch (o.status()) {
+            case OK -> {
+                positions.proved(a);
+                double took = Math.max(1, o.took());
+                state.usual[c] += 0.03 * (Math.min(took, 4 * state.usual[c]) - state.usual[c]);
+                slowness(n, took / state.usual[c]);
+                alive(n);
+                weigh(n, took, type);
+                if (n.load <= FULL_LOAD && n.out.size() + 1 >= n.limit * 0.7) {
+                    n.limit = Math.min(200, n.limit + Math.min(0.2, 1 / n.limit));
+                }
+            }
+            case MISS -> alive(n);
+            case FULL -> cut(n, 0.7);
+            case TIMEOUT, CANCELLED -> {
+                slowness(n, (state.now - a.sentAt) / state.usual[c]);
+                weigh(n, Math.max(state.now - a.sentAt, n.took), type);
+            }
+            // Thin proof of a dead member: one that is well loses connections too. It is probed; after
+            // several in a row, or one that takes too long to set up, it is left out for a moment. Refused at
+            // once, its table may be full and idle ones are given back for a while; where setting up takes
+            // too long, those that are open are kept.
+            case CONNECT_FAILED, RESET -> {
+                n.connectedUntil = UNKNOWN;
+                boolean unmade = o.status() == Status.CONNECT_FAILED;
+                boolean dear = unmade && o.took() > state.settings.limits().connectTimeout() / 2;
+                state.dearUntil = dear ? state.now + SCARCE : state.dearUntil;
+                if (dear || ++n.breaks > BREAKS) {
+                    n.scarceUntil = unmade && !dear ? state.now + SCARCE : UNKNOWN;
+                    pause(n, "does not accept connections");
+                }
+                if (!n.probing) {
+                    membership.probe(n);
+                }
+            }
+            default -> { }
+        }
+    }
+
+    /** Takes an answer time, or how long one has been waited for, into the member's load. */
+    void weigh(Node n, double took, ClassSettings type) {
+        double weight = Math.max(0.15, 1 - Math.exp((n.weighedAt - state.now) / SMOOTHING));
+        n.weighedAt = state.now;
+        n.took += weight * (took - n.took);
+        n.load += weight * (took / type.aim() - n.load);
+        if (n.load > FULL_LOAD) {
+            cut(n, 0.85);
+        }
+    }
+
+    void slowness(Node n, double ratio) {
+        n.slow.add(state.now, Math.min(ratio, MOST_SLOW));
+        n.group.slow.add(state.now, Math.min(ratio, MOST_SLOW));
+    }
+
+    /** Expected answer time over the usual one: few answers of a member are drawn to those of its group. */
+    double slow(Node n) {
+        return n.slow.mean(state.now, n.group.slow.mean(state.now, 1, 1), 3);
+    }
+
+    void alive(Node n) {
+        n.answeredAt = state.now;
+        n.failures = 0;
+        n.breaks = 0;
+        n.onTrial = false;
+        n.bannedUntil = UNKNOWN;
+    }
+
+    void cut(Node n, double factor) {
+        if (state.now - n.limitCutAt > n.took) {
+            n.limitCutAt = state.now;
+            n.limit = Math.max(0.05, n.limit * factor);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/shelffront/decide/Node.java
@@ -0,0 +1,45 @@
+package shelffront.decide;
+
+import static shelffront.route.Router.UNKNOWN;
+
+import java.util.LinkedHashSet;
+import shelffront.count.Recent;
+import shelffront.route.Router.Member;
+
+/** A member as this instance sees it. */
+final class Node {
+
+    final String id;
+    Member entry;
+    Group group;
+    boolean open;                     // listed as live: may be sent to
+    long position = UNKNOWN;          // applied up to here; only moves forward
+    long heardAt = UNKNOWN;           // when that position was heard
+    long missedAt = UNKNOWN;          // when it turned a read away as too recent
+    long probedAt = UNKNOWN;
+    long connectedUntil = UNKNOWN;    // a connection is open, unless it is used or the member closed it
+    boolean probing;                  // a probe is out
+    final Recent slow = new Recent(1);   // answer times over the usual one of the class
+    double load = 0.2;                // answer time over the aim of the class, smoothed
+    double took = 100_000;            // answer time, smoothed
+    double limit;                     // requests at a time; under 1: one now and then
+    long limitCutAt = UNKNOWN;
+    long weighedAt = UNKNOWN;
+    long answeredAt = UNKNOWN;
+    int failures;                     // in a row
+    int breaks;                       // connections that broke or never came up, in a row
+    long scarceUntil = UNKNOWN;       // its connections: others wait for those that idle here
+    long bannedUntil = UNKNOWN;
+    boolean onTrial;                  // banned before and not proved since: one request at a time
+    final Recent sends = new Recent(Group.STEADY);
+    long sentAt = UNKNOWN;
+    final LinkedHashSet<Attempt> out = new LinkedHashSet<>();
+
+    Node(String id) {
+        this.id = id;
+    }
+
+    double size() {
+        return Math.max(0.01, entry.size());
+    }
+}
--- a/src/main/java/shelffront/Router.java
+++ b/core/src/main/java/shelffront/route/Router.java
@@ -1,4 +1,4 @@
-package shelffront;
+package shelffront.route;
 
 import java.util.List;
 
@@ -56,7 +56,25 @@
 
     /** One request class. {@code bound} is the greatest age of data, for bounded reads. */
     record ClassSettings(String name, long aim, long deadline, double worth, double lateShare, Effect effect,
-            Scope scope, long window, Read read, long bound) { }
+            Scope scope, long window, Read read, long bound) {
+
+        public boolean repeatable() {
+            return effect == Effect.REPEATABLE;
+        }
+
+        public boolean once() {
+            return effect == Effect.ONCE;
+        }
+
+        /** Whether those of the given scope drop a repeat of a request of this class. */
+        public boolean keyedFor(Scope given) {
+            return effect == Effect.KEYED && scope == given;
+        }
+
+        public boolean writes() {
+            return read == Read.WRITE;
+        }
+    }
 
     /** The figures of the rules. */
     record Rules(long drainGrace, double coldFrom, long coldTime, double fallMultiple, long fallTime,
--- /dev/null
+++ b/core/src/test/java/shelffront/ArrowsTest.java
@@ -0,0 +1,34 @@
+package shelffront;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.importer.ImportOption.DoNotIncludeTests;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+import com.tngtech.archunit.lang.ArchRule;
+import com.tngtech.archunit.library.dependencies.SlicesRuleDefinition;
+
+/** Holds what makes the deciders replayable: nothing in core touches the world or keeps time of its own. */
+@AnalyzeClasses(packages = "shelffront", importOptions = DoNotIncludeTests.class)
+class ArrowsTest {
+
+    @ArchTest
+    static final ArchRule NO_INPUT_OUTPUT = noClasses().should().dependOnClassesThat()
+            .resideInAnyPackage("java.io..", "java.nio..", "java.net..", "java.util.concurrent..", "java.time..",
+                    "java.util.logging..", "com.sun..", "sun..");
+
+    @ArchTest
+    static final ArchRule NO_CLOCK_AND_NO_THREAD = noClasses().should().callMethod(System.class, "nanoTime")
+            .orShould().callMethod(System.class, "currentTimeMillis")
+            .orShould().dependOnClassesThat().areAssignableTo(Thread.class);
+
+    /** An unseeded source would make the same events give different actions. */
+    @ArchTest
+    static final ArchRule NO_UNSEEDED_CHANCE = noClasses().should().callConstructor(java.util.Random.class)
+            .orShould().callConstructor(java.util.SplittableRandom.class)
+            .orShould().callMethod(Math.class, "random");
+
+    @ArchTest
+    static final ArchRule NO_CYCLES = SlicesRuleDefinition.slices().matching("shelffront.(*)..").should()
+            .beFreeOfCycles();
+}
--- a/src/test/java/shelffront/FailureTest.java
+++ b/core/src/test/java/shelffront/decide/FailureTest.java
@@ -1,16 +1,15 @@
-package shelffront;
+package shelffront.decide;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTimeoutPreemptively;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import shelffront.Router.ListKind;
-import shelffront.Router.Role;
-import shelffront.Router.Status;
-import java.lang.reflect.Field;
+import shelffront.route.Router;
+import shelffront.route.Router.ListKind;
+import shelffront.route.Router.Role;
+import shelffront.route.Router.Status;
 import java.time.Duration;
-import java.util.Collection;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -261,9 +260,7 @@
             bed.request("a" + i, Bed.KEYED);
             bed.outcome("a" + i, 0, "m1", Status.OK, Role.PRIMARY);
         }
-        Field wakes = Decide.class.getDeclaredField("wakes");
-        wakes.setAccessible(true);
-        int size = ((Collection<?>) wakes.get(bed.router)).size();
+        int size = bed.router.state.timers.size();
         assertTrue(size < 1_000, size + " timers");
     }
 }
--- a/src/test/java/shelffront/OrdinaryPathTest.java
+++ b/core/src/test/java/shelffront/decide/OrdinaryPathTest.java
@@ -1,12 +1,12 @@
-package shelffront;
+package shelffront.decide;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import shelffront.Router.LagCheck;
-import shelffront.Router.Role;
-import shelffront.Router.Status;
+import shelffront.route.Router.LagCheck;
+import shelffront.route.Router.Role;
+import shelffront.route.Router.Status;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/shelffront/Recorder.java
+++ b/core/src/test/java/shelffront/decide/Recorder.java
@@ -1,5 +1,6 @@
-package shelffront;
+package shelffront.decide;
 
+import shelffront.route.Router;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/shelffront/RulesTest.java
+++ b/core/src/test/java/shelffront/decide/RulesTest.java
@@ -1,13 +1,13 @@
-package shelffront;
+package shelffront.decide;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import shelffront.Router.Availability;
-import shelffront.Router.Role;
-import shelffront.Router.Scope;
-import shelffront.Router.Status;
+import shelffront.route.Router.Availability;
+import shelffront.route.Router.Role;
+import shelffront.route.Router.Scope;
+import shelffront.route.Router.Status;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
--- a/src/main/java/shelffront/Main.java
+++ b/gateway/src/main/java/shelffront/Main.java
@@ -9,7 +9,7 @@
 import java.time.temporal.ChronoUnit;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import shelffront.adapter.Wire;
+import shelffront.benchlink.Wire;
 import shelffront.config.GatewayConfig;
 import shelffront.config.MalformedInputException;
 import shelffront.gateway.Gateway;
--- a/src/main/java/shelffront/adapter/Row.java
+++ b/gateway/src/main/java/shelffront/benchlink/Row.java
@@ -1,4 +1,4 @@
-package shelffront.adapter;
+package shelffront.benchlink;
 
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/shelffront/config/GatewayConfig.java
+++ b/gateway/src/main/java/shelffront/config/GatewayConfig.java
@@ -8,7 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import shelffront.Router.Settings;
+import shelffront.route.Router.Settings;
 
 /** What the environment and the configuration file tell a gateway at its start. */
 public record GatewayConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
--- a/src/main/java/shelffront/config/MemberList.java
+++ b/gateway/src/main/java/shelffront/config/MemberList.java
@@ -5,8 +5,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import shelffront.Router.Availability;
-import shelffront.Router.Member;
+import shelffront.route.Router.Availability;
+import shelffront.route.Router.Member;
 
 /** A list of database hosts in discovery's form: the module's members, and where each is to be reached. */
 public record MemberList(long revision, boolean complete, List<Member> members,
--- a/src/main/java/shelffront/config/SettingsReader.java
+++ b/gateway/src/main/java/shelffront/config/SettingsReader.java
@@ -1,15 +1,15 @@
 package shelffront.config;
 
-import shelffront.Router.ClassSettings;
-import shelffront.Router.Effect;
-import shelffront.Router.LagCheck;
-import shelffront.Router.Limits;
-import shelffront.Router.ListRole;
-import shelffront.Router.Read;
-import shelffront.Router.ReportSource;
-import shelffront.Router.Rules;
-import shelffront.Router.Scope;
-import shelffront.Router.Settings;
+import shelffront.route.Router.ClassSettings;
+import shelffront.route.Router.Effect;
+import shelffront.route.Router.LagCheck;
+import shelffront.route.Router.Limits;
+import shelffront.route.Router.ListRole;
+import shelffront.route.Router.Read;
+import shelffront.route.Router.ReportSource;
+import shelffront.route.Router.Rules;
+import shelffront.route.Router.Scope;
+import shelffront.route.Router.Settings;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/shelffront/gateway/Attempt.java
+++ b/gateway/src/main/java/shelffront/exchange/Attempt.java
@@ -1,4 +1,4 @@
-package shelffront.gateway;
+package shelffront.exchange;
 
 /** One try of a request at one database host. */
 public final class Attempt {
@@ -7,10 +7,11 @@
     public final String member;
     /** When a connection was there and the request was written to it; until then when it began. */
     public long sentAt;
-    final int number;
-    boolean out = true;
+    public final int number;
+    /** Until its outcome was told. */
+    public boolean out = true;
 
-    Attempt(Exchange exchange, String member, long now) {
+    public Attempt(Exchange exchange, String member, long now) {
         this.exchange = exchange;
         this.member = member;
         this.sentAt = now;
--- a/src/main/java/shelffront/gateway/Exchange.java
+++ b/gateway/src/main/java/shelffront/exchange/Exchange.java
@@ -1,4 +1,4 @@
-package shelffront.gateway;
+package shelffront.exchange;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -26,10 +26,11 @@
     public final Statement statement;
     /** By this time the client has its answer; Unix microseconds, as are all times. */
     public final long deadline;
-    final int classIndex;
-    final Asker asker;
-    final List<Attempt> attempts = new ArrayList<>(2);
-    boolean answered;
+    public final int classIndex;
+    public final Asker asker;
+    public final List<Attempt> attempts = new ArrayList<>(2);
+    /** Its final answer was given, or nobody waits for it any more. */
+    public boolean answered;
 
     public Exchange(String id, Statement statement, int classIndex, long deadline, Asker asker) {
         this.id = id;
--- a/src/main/java/shelffront/server/Answer.java
+++ b/gateway/src/main/java/shelffront/server/Answer.java
@@ -5,8 +5,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
-import shelffront.Router.Load;
-import shelffront.Router.Status;
+import shelffront.route.Router.Load;
+import shelffront.route.Router.Status;
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
 
--- a/src/main/java/shelffront/server/Errand.java
+++ b/gateway/src/main/java/shelffront/server/Errand.java
@@ -1,6 +1,6 @@
 package shelffront.server;
 
-import shelffront.gateway.Attempt;
+import shelffront.exchange.Attempt;
 import shelffront.net.TurnLoop.Deadline;
 
 /** What one host connection carries at a time: an attempt, or a probe where there is none. */
--- a/src/main/java/shelffront/server/HostConnection.java
+++ b/gateway/src/main/java/shelffront/server/HostConnection.java
@@ -2,7 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
-import shelffront.Router.Status;
+import shelffront.route.Router.Status;
 import shelffront.net.CloseReason;
 import shelffront.net.Connection;
 import shelffront.net.Network;
--- a/src/main/java/shelffront/server/Reply.java
+++ b/gateway/src/main/java/shelffront/server/Reply.java
@@ -1,9 +1,9 @@
 package shelffront.server;
 
-import shelffront.Router;
-import shelffront.Router.Load;
-import shelffront.Router.Role;
-import shelffront.Router.Status;
+import shelffront.route.Router;
+import shelffront.route.Router.Load;
+import shelffront.route.Router.Role;
+import shelffront.route.Router.Status;
 
 /** How an attempt or a probe ended, with what the host told of itself; the messages of an answer if it is OK. */
 public record Reply(Status status, Role role, long position, Load load, byte[] messages) {
--- a/src/main/java/shelffront/server/Report.java
+++ b/gateway/src/main/java/shelffront/server/Report.java
@@ -3,9 +3,9 @@
 import java.math.BigDecimal;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import shelffront.Router;
-import shelffront.Router.Load;
-import shelffront.Router.Role;
+import shelffront.route.Router;
+import shelffront.route.Router.Load;
+import shelffront.route.Router.Role;
 
 /** A host's report on itself: {@code x0=1767225600.123,x1=0,queue=3}. */
 final class Report {
--- a/src/test/java/shelffront/ServeIT.java
+++ b/gateway/src/test/java/shelffront/ServeIT.java
@@ -53,7 +53,7 @@
     /** Guards the build's last step, which leaves the archive of classes, and through it the first seconds. */
     @Test
     public void rehearsesEveryClassOfRequest() throws Exception {
-        Process rehearsal = start("rehearse", Map.of("BALANCER_CONFIG", "docs/example-config.json"));
+        Process rehearsal = start("rehearse", Map.of("BALANCER_CONFIG", "../docs/example-config.json"));
         try (BufferedReader log = rehearsal.inputReader()) {
             await(log, "answers_served=200 ");
             assertTrue(rehearsal.waitFor(MISSING_MS, TimeUnit.MILLISECONDS));
@@ -81,7 +81,7 @@
     }
 
     private static void write(Path file, ServerSocket discovery) throws IOException {
-        Files.writeString(file, Files.readString(Path.of("docs/example-config.json"))
+        Files.writeString(file, Files.readString(Path.of("../docs/example-config.json"))
                 .replace("127.0.0.1:8500", address(discovery)));
     }
 
--- a/src/test/java/shelffront/adapter/AdapterIT.java
+++ b/gateway/src/test/java/shelffront/benchlink/AdapterIT.java
@@ -1,4 +1,4 @@
-package shelffront.adapter;
+package shelffront.benchlink;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/shelffront/adapter/WirePlayTest.java
+++ b/gateway/src/test/java/shelffront/benchlink/WirePlayTest.java
@@ -1,4 +1,4 @@
-package shelffront.adapter;
+package shelffront.benchlink;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static java.util.stream.Collectors.joining;
--- a/src/test/java/shelffront/gateway/Stage.java
+++ b/gateway/src/test/java/shelffront/gateway/Stage.java
@@ -36,7 +36,7 @@
 final class Stage implements AutoCloseable {
 
     static final Path PLAYS = Path.of("src/test/resources/plays");
-    private static final Path EXAMPLE = Path.of("docs/example-config.json");
+    private static final Path EXAMPLE = Path.of("../docs/example-config.json");
     private static final int MISSING_MS = 10_000;
 
     private final AtomicLong clock = new AtomicLong(1_800_000_000_000_000L);
--- a/src/test/java/shelffront/server/ReportTest.java
+++ b/gateway/src/test/java/shelffront/server/ReportTest.java
@@ -4,9 +4,9 @@
 import static org.junit.Assert.assertNull;
 
 import org.junit.Test;
-import shelffront.Router;
-import shelffront.Router.Load;
-import shelffront.Router.Role;
+import shelffront.route.Router;
+import shelffront.route.Router.Load;
+import shelffront.route.Router.Role;
 
 /** Guards against a position or a role taken from a report that is not one. */
 public class ReportTest {
