Serve tenants by name, each with its own module, limits and share of turn, rate and places

Need: one gateway for many customers, of which none may starve another.

Change: shelffront.share in core divides what tenants share, without I/O: water-filling of a stated rate by weight, places for open requests of which a part is never lent, deficit round robin over measured time for the turn loop. shelffront.tenant holds a tenant's life: it wakes with its first client and sleeps without any, takes up a change while it runs, and is removed with one final answer for each request. The platform's gateway is a single tenant of the same kind. The log is written by a thread of its own from a bounded queue, so that a stalled reader delays nothing else.

--- a/core/src/main/java/shelffront/route/Router.java
+++ b/core/src/main/java/shelffront/route/Router.java
@@ -97,7 +97,12 @@
 
     /** A line of the list. {@code startedAt} is 0 when the member has been up for long. */
     record Member(String id, String kind, String zone, int group, double size, long startedAt, boolean primary,
-            Availability availability) { }
+            Availability availability) {
+
+        public Member as(Availability other) {
+            return new Member(id, kind, zone, group, size, startedAt, primary, other);
+        }
+    }
 
     /** A member's report about itself; negative figures and {@link #UNKNOWN} were not given. */
     record Load(long position, Role role, double outstanding, double queued, double utilization) { }
--- /dev/null
+++ b/core/src/main/java/shelffront/share/Rounds.java
@@ -0,0 +1,82 @@
+package shelffront.share;
+
+import java.util.ArrayDeque;
+
+/**
+ * Deficit round robin (Shreedhar and Varghese, 1996) over flows whose items' costs are known only once they are done:
+ * a flow whose credit is used up waits until it has had its rounds. Items of one flow keep their order. A flow alone
+ * is never held back.
+ */
+public final class Rounds<T> {
+
+    /** The greatest cost that one item counts, in quanta: bounds how long a flow waits for what it cost. */
+    private static final long MOST_QUANTA = 64;
+
+    /** One that has its turn: items that wait, and its credit. */
+    public static final class Flow<T> {
+
+        private final ArrayDeque<T> waiting = new ArrayDeque<>();
+        private double weight;
+        private double credit;
+        private boolean inRing;
+
+        public Flow(double weight) {
+            this.weight = weight;
+        }
+
+        /** Above 0. */
+        public void weight(double given) {
+            weight = given;
+        }
+
+        public int size() {
+            return waiting.size();
+        }
+    }
+
+    private final long quantum;
+    private final ArrayDeque<Flow<T>> ring = new ArrayDeque<>();
+    private Flow<T> current;
+
+    /** The quantum is the cost that a flow of weight 1 may run up in a round. */
+    public Rounds(long quantum) {
+        this.quantum = quantum;
+    }
+
+    public void add(Flow<T> flow, T item) {
+        flow.waiting.add(item);
+        if (!flow.inRing) {
+            flow.inRing = true;
+            flow.credit = Math.min(flow.credit, 0) + quantum * flow.weight;   // no saving up while idle
+            ring.add(flow);
+        }
+    }
+
+    /** The next item, whose cost is to be told by {@link #charge}; null where none waits. */
+    public T next() {
+        while (!ring.isEmpty()) {
+            Flow<T> flow = ring.peek();
+            if (flow.waiting.isEmpty()) {
+                ring.poll();
+                flow.inRing = false;
+            } else if (flow.credit <= 0 && ring.size() > 1) {
+                flow.credit += quantum * flow.weight;
+                ring.add(ring.poll());
+            } else {
+                current = flow;
+                return flow.waiting.poll();
+            }
+        }
+        return null;
+    }
+
+    /** What the item given last has cost, in the unit of the quantum. */
+    public void charge(long cost) {
+        double least = -quantum * MOST_QUANTA * current.weight;
+        current.credit = Math.max(least, current.credit - Math.max(1, cost));
+    }
+
+    public boolean isEmpty() {
+        return ring.stream().allMatch(f -> f.waiting.isEmpty());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/shelffront/share/RoundsTest.java
@@ -0,0 +1,66 @@
+package shelffront.share;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import shelffront.share.Rounds.Flow;
+
+class RoundsTest {
+
+    @Test
+    void aFloodedFlowDoesNotHoldUpAnother() {
+        Rounds<String> rounds = new Rounds<>(100);
+        Flow<String> flood = new Flow<>(1);
+        Flow<String> calm = new Flow<>(1);
+        for (int i = 0; i < 10_000; i++) {
+            rounds.add(flood, "flood");
+        }
+        rounds.add(calm, "calm");
+        int before = 0;
+        while (rounds.next().equals("flood")) {
+            rounds.charge(30);
+            before++;
+        }
+        assertTrue(before <= 4, before + " came first");
+    }
+
+    @Test
+    void itemsOfOneFlowKeepTheirOrderAndAreAllGiven() {
+        Rounds<Integer> rounds = new Rounds<>(10);
+        Flow<Integer> one = new Flow<>(0.5);
+        for (int i = 0; i < 100; i++) {
+            rounds.add(one, i);
+        }
+        for (int i = 0; i < 100; i++) {
+            assertEquals(i, rounds.next());
+            rounds.charge(1000);
+        }
+        assertNull(rounds.next());
+        assertTrue(rounds.isEmpty());
+    }
+
+    /** Two flows that always wait get what their weights say, whatever their items cost. */
+    @Property(tries = 200)
+    void costFollowsWeights(@ForAll @IntRange(min = 1, max = 8) int weight,
+            @ForAll @Size(min = 1, max = 20) List<@IntRange(min = 1, max = 500) Integer> costs) {
+        Rounds<Integer> rounds = new Rounds<>(100);
+        List<Flow<Integer>> flows = List.of(new Flow<>(1), new Flow<>(weight));
+        flows.forEach(f -> rounds.add(f, flows.indexOf(f)));
+        double[] spent = new double[2];
+        for (int i = 0; i < 20_000; i++) {
+            int who = rounds.next();
+            int cost = costs.get(i % costs.size());
+            rounds.charge(cost);
+            spent[who] += cost;
+            rounds.add(flows.get(who), who);
+        }
+        assertEquals(weight, spent[1] / spent[0], 0.1 * weight);
+    }
+}
--- a/gateway/src/main/java/shelffront/Main.java
+++ b/gateway/src/main/java/shelffront/Main.java
@@ -16,7 +16,9 @@
 import shelffront.gateway.Reload;
 import shelffront.net.Budget;
 import shelffront.net.Counters;
+import shelffront.net.Log;
 import shelffront.net.Network;
+import shelffront.net.QueuedLog;
 import shelffront.net.TurnLoop;
 import shelffront.rehearsal.Rehearsal;
 import sun.misc.Signal;
@@ -29,6 +31,7 @@
 
     private static final long BUFFER_BYTES = 32L << 20;
     private static final long STOP_SECONDS = 30;
+    private static final long LOG_MILLISECONDS = 2000;
 
     private Main() { }
 
@@ -37,7 +40,7 @@
         try {
             switch (command) {
                 case "serve" -> serve();
-                case "rehearse" -> Rehearsal.run(System.getenv(), network());
+                case "rehearse" -> rehearse();
                 case "benchlink" -> new Wire(new FileInputStream(FileDescriptor.in),
                         new FileOutputStream(FileDescriptor.out)).run();
                 default -> {
@@ -53,16 +56,26 @@
         }
     }
 
-    private static Network network() throws IOException {
+    private static Network network(Log log) throws IOException {
         Counters counters = new Counters();
         TurnLoop loop = new TurnLoop(() -> ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()), counters);
-        return Network.open(loop, new Budget(BUFFER_BYTES), counters,
-                new PrintStream(new FileOutputStream(FileDescriptor.out), true));
+        return Network.open(loop, new Budget(BUFFER_BYTES), counters, log);
+    }
+
+    private static QueuedLog log() {
+        return new QueuedLog(new PrintStream(new FileOutputStream(FileDescriptor.out)));
+    }
+
+    private static void rehearse() throws IOException, MalformedInputException, InterruptedException {
+        QueuedLog log = log();
+        Rehearsal.run(System.getenv(), network(log));
+        log.close(LOG_MILLISECONDS);
     }
 
     private static void serve() throws IOException, MalformedInputException, InterruptedException {
         GatewayConfig config = GatewayConfig.fromEnvironment(System.getenv());
-        Network network = network();
+        QueuedLog log = log();
+        Network network = network(log);
         TurnLoop loop = network.loop();
         Gateway gateway = new Gateway(network, config);
         CountDownLatch stopped = new CountDownLatch(1);
@@ -71,6 +84,7 @@
             loop.post(gateway::drain);
             try {
                 stopped.await(STOP_SECONDS, TimeUnit.SECONDS);
+                log.close(LOG_MILLISECONDS);
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
@@ -82,7 +96,6 @@
         network.log().println("gateway " + config.name() + " listens on " + gateway.address() + ", discovery is "
                 + config.discovery());
         loop.run();
-        network.log().flush();
         stopped.countDown();
     }
 }
--- a/gateway/src/main/java/shelffront/client/ClientConnection.java
+++ b/gateway/src/main/java/shelffront/client/ClientConnection.java
@@ -4,6 +4,8 @@
 import java.nio.channels.AsynchronousSocketChannel;
 import java.util.ArrayDeque;
 import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
 import shelffront.route.Router.ClassSettings;
 import shelffront.route.Router.Effect;
 import shelffront.route.Router.Read;
@@ -17,8 +19,9 @@
 import shelffront.pg.Statement;
 
 /** A client's connection: reads its commands, has one at a time in work, and answers them in their order. */
-final class ClientConnection extends Connection implements Exchange.Asker {
+final class ClientConnection extends Connection implements Exchange.Asker, Clients.Client {
 
+    private static final int GREATEST_PASSWORD = 1024;
     private static final int MOST_WAITING = 8;   // Commands read ahead of the one in work.
     private static final String NO_MEMORY = "53200";
     private static final String TYPES = "QXSPBDECHFdcf";
@@ -37,6 +40,9 @@
     private final Clients clients;
     private final ArrayDeque<Command> waiting = new ArrayDeque<>();
     private final long openedAt;
+    private Map<String, String> startup = Map.of();
+    private boolean asksPassword;     // the next message is one
+    private Clients.Taker taker;      // who serves it, once that is known
     private boolean started;
     private boolean asked;            // a whole command has come
     private boolean half;             // part of a command has come
@@ -56,7 +62,8 @@
     }
 
     /** Whether it may be closed without a loss: nothing of it is in work or unsent. */
-    boolean isIdle() {
+    @Override
+    public boolean isIdle() {
         return current == null && waiting.isEmpty() && drained();
     }
 
@@ -65,6 +72,19 @@
         return asked ? Long.MAX_VALUE : openedAt;
     }
 
+    /** Connections that are served together with this one. */
+    int siblings() {
+        return taker == null ? 0 : taker.clients();
+    }
+
+    @Override
+    public void dismiss(ProtocolException why, CloseReason reason) {
+        if (unreadable == null && !isClosed()) {
+            unreadable(why, reason);
+            work();
+        }
+    }
+
     @Override
     protected boolean wantsInput() {
         return unreadable == null && waiting.size() < MOST_WAITING && waitingBytes < GREATEST_WAITING;
@@ -93,6 +113,9 @@
             unreadable(e, switch (e.code()) {
                 case Message.TOO_LARGE -> CloseReason.TOO_LARGE;
                 case NO_MEMORY -> CloseReason.NO_MEMORY;
+                case "3D000" -> CloseReason.NO_TENANT;
+                case "53300" -> CloseReason.TENANT_FULL;
+                case "57P03" -> CloseReason.TENANT_GONE;
                 default -> CloseReason.MALFORMED;
             });
         }
@@ -117,6 +140,9 @@
 
     /** Takes a message of the startup; false where more bytes are needed or it is over. */
     private boolean startup(ByteBuffer bytes) throws ProtocolException {
+        if (asksPassword) {
+            return password(bytes);
+        }
         Message message = Message.nextStartup(bytes);
         if (message == null || isClosed()) {
             return false;
@@ -131,17 +157,42 @@
                 if (message.code() >> 16 != Message.PROTOCOL_3) {
                     throw new ProtocolException("0A000", "only version 3 of the protocol is spoken here");
                 }
-                started = true;
-                write(Message.authenticationOk());
-                write(Message.parameterStatus("server_version", "15.0"));
-                write(Message.parameterStatus("client_encoding", "UTF8"));
-                write(Message.parameterStatus("standard_conforming_strings", "on"));
-                write(Message.readyForQuery());
+                startup = message.startupParameters();
+                asksPassword = clients.door.asksPassword(startup);
+                if (asksPassword) {
+                    write(Message.askPassword());
+                } else {
+                    welcome(clients.door.admit(startup));
+                }
             }
         }
         return !started;
     }
 
+    private boolean password(ByteBuffer bytes) throws ProtocolException {
+        Message message = Message.next(bytes, "p", GREATEST_PASSWORD);
+        if (message == null || isClosed()) {
+            return false;
+        }
+        asksPassword = false;
+        welcome(clients.door.admit(startup, Arrays.copyOf(message.body(), Math.max(0, message.body().length - 1))));
+        return false;
+    }
+
+    private void welcome(Clients.Taker by) throws ProtocolException {
+        if (!join(by.network())) {
+            throw new ProtocolException(NO_MEMORY, "there is no room for the connection");
+        }
+        taker = by;
+        taker.joined(this);
+        started = true;
+        write(Message.authenticationOk());
+        write(Message.parameterStatus("server_version", "15.0"));
+        write(Message.parameterStatus("client_encoding", "UTF8"));
+        write(Message.parameterStatus("standard_conforming_strings", "on"));
+        write(Message.readyForQuery());
+    }
+
     /** Guards against clients that hold a connection with half a command, or for good. */
     private void idle() {
         limit.cancel();
@@ -204,8 +255,8 @@
             return;
         }
         Statement statement = Statement.read(bytes);
-        int classIndex = clients.classIndex(statement.value("c"));
-        ClassSettings type = clients.classes.get(classIndex);
+        int classIndex = classIndex(statement.value("c"));
+        ClassSettings type = taker.classes().get(classIndex);
         Read read = type.read();
         if (type.effect() == Effect.KEYED && statement.value("k") == null) {
             throw new ProtocolException("42601", "the class needs a key k");
@@ -215,11 +266,21 @@
         int group = statement.number("cluster", 0);
         String session = read == Read.WRITE || read == Read.SESSION ? statement.key() : null;
         Exchange exchange = new Exchange(statement.value("id"), statement, classIndex, deadline, this);
-        clients.taker.check(exchange);
+        taker.check(exchange);
         network.counters().add(Counters.Name.REQUESTS_TAKEN);
         limit.cancel();
         current = exchange;
-        clients.taker.take(exchange, session, group, "1".equals(statement.value("r")));
+        taker.take(exchange, session, group, "1".equals(statement.value("r")));
+    }
+
+    private int classIndex(String name) throws ProtocolException {
+        List<ClassSettings> classes = taker.classes();
+        for (int i = 0; i < classes.size(); i++) {
+            if (classes.get(i).name().equals(name)) {
+                return i;
+            }
+        }
+        throw new ProtocolException("42601", "the class is not known");
     }
 
     private static boolean blank(byte[] statement) {
@@ -248,6 +309,12 @@
                 retryAfter > 0 ? Long.toString((retryAfter + 999) / 1000) : null));
     }
 
+    @Override
+    public void unavailable() {
+        network.counters().add(Counters.Name.ANSWERS_REFUSED);
+        over(Message.error(false, "57P03", "refused untouched, the database is being removed", null));
+    }
+
     @Override
     public void failed() {
         network.counters().add(Counters.Name.ANSWERS_FAILED);
@@ -287,7 +354,10 @@
         network.budget().giveBack(held);
         if (current != null) {
             network.counters().add(Counters.Name.REQUESTS_LEFT);
-            clients.taker.left(current);
+            taker.left(current);
+        }
+        if (taker != null) {
+            taker.parted(this);
         }
         clients.ended(this);
     }
--- a/gateway/src/main/java/shelffront/client/Clients.java
+++ b/gateway/src/main/java/shelffront/client/Clients.java
@@ -8,6 +8,7 @@
 import java.nio.channels.CompletionHandler;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import shelffront.route.Router.ClassSettings;
 import shelffront.exchange.Exchange;
@@ -19,9 +20,43 @@
 /** The client side: accepts connections, bounded in number, and passes their requests on as exchanges. */
 public final class Clients {
 
+    /** Finds who serves a client. */
+    public interface Door {
+
+        /** By the parameters of its startup message; throws where nobody does, with what the client is told. */
+        Taker admit(Map<String, String> startup) throws ProtocolException;
+
+        /** Whether a client that begins like this is asked for a password first; the same for names nobody has. */
+        boolean asksPassword(Map<String, String> startup);
+
+        /** As {@link #admit(Map)}, with the password that it gave. */
+        Taker admit(Map<String, String> startup, byte[] password) throws ProtocolException;
+    }
+
+    /** A client's connection, as the one that serves it sees it. */
+    public interface Client {
+
+        boolean isIdle();
+
+        /** Ends it with an error once what is in work has been answered. */
+        void dismiss(ProtocolException why, CloseReason reason);
+    }
+
     /** Takes requests in; each is answered through its exchange. */
     public interface Taker {
 
+        /** What its clients' connections post to, borrow from and count in. */
+        Network network();
+
+        List<ClassSettings> classes();
+
+        void joined(Client client);
+
+        void parted(Client client);
+
+        /** Connections that it has now. */
+        int clients();
+
         /** Throws where the request can't be taken for what it says; nothing has been done then. */
         void check(Exchange exchange) throws ProtocolException;
 
@@ -36,20 +71,17 @@
     private static final long ACCEPT_PAUSE = 20_000;
 
     final Network network;
-    final Taker taker;
-    final List<ClassSettings> classes;
+    final Door door;
     private final int mostConnections;
     private final AsynchronousServerSocketChannel listener;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private boolean full;
     private boolean draining;
 
-    public Clients(Network network, InetSocketAddress listen, int mostConnections, List<ClassSettings> classes,
-            Taker taker) throws IOException {
+    public Clients(Network network, InetSocketAddress listen, int mostConnections, Door door) throws IOException {
         this.network = network;
         this.mostConnections = mostConnections;
-        this.classes = classes;
-        this.taker = taker;
+        this.door = door;
         listener = AsynchronousServerSocketChannel.open(network.group()).bind(listen, BACKLOG);
     }
 
@@ -91,7 +123,7 @@
 
     /**
      * Guards against those who connect and say nothing, or ask once and stay, taking the place of the others: the
-     * first to go is one that has sent no command, then the one unused for longest.
+     * first to go is one that has sent no command, then the one unused for longest of the tenant that has most.
      */
     private boolean evict() {
         ClientConnection victim = null;
@@ -100,7 +132,7 @@
                 victim = c;
                 break;
             }
-            victim = victim == null && c.isIdle() ? c : victim;
+            victim = c.isIdle() && (victim == null || c.siblings() > victim.siblings()) ? c : victim;
         }
         if (victim != null) {
             victim.close(CloseReason.EVICTED);
@@ -115,15 +147,6 @@
         }
     }
 
-    int classIndex(String name) throws ProtocolException {
-        for (int i = 0; i < classes.size(); i++) {
-            if (classes.get(i).name().equals(name)) {
-                return i;
-            }
-        }
-        throw new ProtocolException("42601", "the class is not known");
-    }
-
     /** The connection may have nothing more to do. */
     void finished(ClientConnection connection) {
         if (draining && connection.isIdle()) {
--- a/gateway/src/main/java/shelffront/config/MemberList.java
+++ b/gateway/src/main/java/shelffront/config/MemberList.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import shelffront.route.Router.Availability;
@@ -15,6 +16,25 @@
     private static final Map<String, Availability> PHASES = Map.of("Ready", Availability.LIVE,
             "Terminating", Availability.DRAINING, "Gone", Availability.GONE);
 
+    public static MemberList empty() {
+        return new MemberList(0, true, List.of(), Map.of());
+    }
+
+    /** The list after news: those of a complete one alone, else with the changes put in and those gone left out. */
+    public MemberList with(MemberList news) {
+        if (news.complete) {
+            return news;
+        }
+        Map<String, Member> all = new LinkedHashMap<>();
+        members.forEach(m -> all.put(m.id(), m));
+        news.members.forEach(m -> all.put(m.id(), m));
+        all.values().removeIf(m -> m.availability() == Availability.GONE);
+        Map<String, InetSocketAddress> where = new HashMap<>(addresses);
+        where.putAll(news.addresses);
+        where.keySet().retainAll(all.keySet());
+        return new MemberList(news.revision, true, List.copyOf(all.values()), Map.copyOf(where));
+    }
+
     public static MemberList read(Map<?, ?> object) throws MalformedInputException {
         List<Member> members = new ArrayList<>();
         Map<String, InetSocketAddress> addresses = new HashMap<>();
--- a/gateway/src/main/java/shelffront/discovery/Discovery.java
+++ b/gateway/src/main/java/shelffront/discovery/Discovery.java
@@ -42,6 +42,12 @@
         }
     }
 
+    /** Starts the watch as if nothing had been heard before, so that it begins with the whole list. */
+    public void watchAnew() {
+        revision = 0;
+        watch(true);
+    }
+
     /**
      * Discovery answers elsewhere from now on. A watch that is asked for starts there at once: the old address may
      * close late, and what it no longer tells counts as told all the same.
@@ -72,7 +78,7 @@
                     standing, this);
         } catch (IOException e) {
             network.log().println("no socket for discovery: " + e.getMessage());
-            network.loop().post(this::failed);
+            network.post(this::failed);
             return null;
         }
     }
--- a/gateway/src/main/java/shelffront/exchange/Exchange.java
+++ b/gateway/src/main/java/shelffront/exchange/Exchange.java
@@ -19,6 +19,9 @@
         /** Refused untouched; 0 means no advice when to come again. */
         void refused(long retryAfter);
 
+        /** Refused untouched, since what was asked is being taken out of service. */
+        void unavailable();
+
         void failed();
     }
 
--- a/gateway/src/main/java/shelffront/net/Connection.java
+++ b/gateway/src/main/java/shelffront/net/Connection.java
@@ -20,7 +20,7 @@
     private static final int GREATEST_DROPPED = 1 << 20;
     private static final long STALL = 10_000_000;  // A peer that takes nothing for so long is given up.
 
-    protected final Network network;
+    protected Network network;
     private final String kind;
     private final int greatestBuffer;
     private final AsynchronousSocketChannel channel;
@@ -56,6 +56,17 @@
     /** Called once, after the socket was closed. */
     protected abstract void ended(CloseReason reason);
 
+    /** Belongs to another view of the same loop from now on, a tenant's; false where that has no room for its buffer. */
+    protected final boolean join(Network next) {
+        long counted = input.capacity() - FIRST_BUFFER;
+        if (!next.budget().take(counted)) {
+            return false;
+        }
+        network.budget().giveBack(counted);
+        network = next;
+        return true;
+    }
+
     protected final long now() {
         return network.loop().now();
     }
@@ -251,7 +262,8 @@
         } catch (IOException e) {
             network.log().println("close " + kind + " failed: " + e.getMessage());
         }
-        network.log().println("end " + kind + " " + describe() + " reason=" + reason.code());
+        network.log().println("end " + kind + " " + describe()
+                + (network.tenant().isEmpty() ? "" : " tenant=" + network.tenant()) + " reason=" + reason.code());
         ended(reason);
     }
 
@@ -272,7 +284,7 @@
             }
 
             private void pass(T result, Throwable failure) {
-                network.loop().post(() -> {
+                network.post(() -> {
                     try {
                         if (!closed) {
                             then.accept(result, failure);
--- a/gateway/src/main/java/shelffront/net/Counters.java
+++ b/gateway/src/main/java/shelffront/net/Counters.java
@@ -12,17 +12,30 @@
         CLIENTS_ACCEPTED, BYTES_IN, BYTES_OUT, REQUESTS_TAKEN, REQUESTS_INVALID, REQUESTS_LEFT, ATTEMPTS_SENT,
         ATTEMPTS_OK, ATTEMPTS_ERROR, ATTEMPTS_FULL, ATTEMPTS_TIMEOUT, ATTEMPTS_CONNECT_FAILED, ATTEMPTS_RESET,
         ATTEMPTS_CANCELLED, ATTEMPTS_NOT_SENT, ATTEMPTS_MISS, PROBES_SENT, PROBES_FAILED, HOST_CONNECTIONS_OPENED,
-        ANSWERS_SERVED, ANSWERS_REFUSED, ANSWERS_FAILED, LISTS_HEARD, DISCOVERY_FAILURES, FAULTS
+        ANSWERS_SERVED, ANSWERS_REFUSED, ANSWERS_FAILED, REFUSED_BY_LIMIT, REFUSED_BY_SHARE, LISTS_HEARD, DISCOVERY_FAILURES, FAULTS
     }
 
+    private final Counters whole;
     private final Map<Name, Long> values = new EnumMap<>(Name.class);
 
+    public Counters() {
+        this(null);
+    }
+
+    /** A part of others: what is counted here counts there too. */
+    public Counters(Counters whole) {
+        this.whole = whole;
+    }
+
     public void add(Name name) {
         add(name, 1);
     }
 
     public void add(Name name, long amount) {
         values.merge(name, amount, Long::sum);
+        if (whole != null) {
+            whole.add(name, amount);
+        }
     }
 
     public long get(Name name) {
--- a/gateway/src/main/java/shelffront/net/Network.java
+++ b/gateway/src/main/java/shelffront/net/Network.java
@@ -1,21 +1,34 @@
 package shelffront.net;
 
 import java.io.IOException;
-import java.io.PrintStream;
 import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousSocketChannel;
+import shelffront.share.Rounds.Flow;
 
-/** What all connections share: the turn loop, the channel group, the memory budget, counters and the log. */
-public record Network(TurnLoop loop, AsynchronousChannelGroup group, Budget budget, Counters counters,
-        PrintStream log) {
+/**
+ * What connections share: the turn loop, the channel group, the memory budget, counters and the log. Each tenant has
+ * its own view, whose flow takes turns with those of the others; the tenant is empty where there is only one.
+ */
+public record Network(TurnLoop loop, AsynchronousChannelGroup group, Budget budget, Counters counters, Log log,
+        Flow<Runnable> flow, String tenant) {
 
     /** One thread runs all completion handlers; they do nothing but post to the loop. */
-    public static Network open(TurnLoop loop, Budget budget, Counters counters, PrintStream log) throws IOException {
+    public static Network open(TurnLoop loop, Budget budget, Counters counters, Log log) throws IOException {
         return new Network(loop, AsynchronousChannelGroup.withFixedThreadPool(1, task -> {
             Thread thread = new Thread(task, "completions");
             thread.setDaemon(true);
             return thread;
-        }), budget, counters, log);
+        }), budget, counters, log, loop.common(), "");
+    }
+
+    /** A tenant's view: its own flow, budget and counters, which count in the common ones too. */
+    public Network of(String id, Flow<Runnable> own, long bufferBytes) {
+        return new Network(loop, group, new Budget(budget, bufferBytes), new Counters(counters), log, own, id);
+    }
+
+    /** Hands a result to the turn thread, in this view's flow. Any thread may call it. */
+    public void post(Runnable result) {
+        loop.post(flow, result);
     }
 
     public AsynchronousSocketChannel newChannel() throws IOException {
--- a/gateway/src/main/java/shelffront/net/TurnLoop.java
+++ b/gateway/src/main/java/shelffront/net/TurnLoop.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import shelffront.share.Rounds;
+import shelffront.share.Rounds.Flow;
 
 /**
  * The one thread that owns all state. Completion handlers only {@link #post} what they got; each turn takes what
@@ -33,9 +35,15 @@
 
     /** Results taken before deadlines get their turn, so that a flood of input can't starve them. */
     private static final int RESULTS_A_TURN = 256;
+    /** Microseconds that a flow of weight 1 may use before the next one has its turn. */
+    private static final long QUANTUM = 200;
+
+    private record Result(Flow<Runnable> flow, Runnable task) { }
 
     /** Bounded by what can be out: a read and a write for each connection, and one accept. */
-    private final LinkedBlockingQueue<Runnable> results = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<Result> results = new LinkedBlockingQueue<>();
+    private final Rounds<Runnable> rounds = new Rounds<>(QUANTUM);
+    private final Flow<Runnable> common = new Flow<>(1);
     private final TreeSet<Deadline> deadlines = new TreeSet<>(
             Comparator.<Deadline>comparingLong(d -> d.at).thenComparingLong(d -> d.order));
     private final Set<Connection> toFlush = new LinkedHashSet<>();
@@ -52,9 +60,24 @@
         now = clock.getAsLong();
     }
 
-    /** Hands a result to the turn thread; the only method that other threads may call. */
+    /** Hands a result to the turn thread; the two ways to post are all that other threads may call. */
     public void post(Runnable result) {
-        results.add(result);
+        post(common, result);
+    }
+
+    /** Flows have their turns by deficit round robin over the time they use, so that none can keep it from others. */
+    public void post(Flow<Runnable> flow, Runnable result) {
+        results.add(new Result(flow, result));
+    }
+
+    /** The flow of what belongs to no tenant. */
+    public Flow<Runnable> common() {
+        return common;
+    }
+
+    /** Deadlines that are set and not yet due. */
+    public int deadlines() {
+        return deadlines.size();
     }
 
     public long now() {
@@ -83,12 +106,16 @@
 
     public void run() throws InterruptedException {
         while (!stopped) {
-            Runnable result = results.poll(untilNextDeadline(), TimeUnit.MICROSECONDS);
+            sort(rounds.isEmpty() ? results.poll(untilNextDeadline(), TimeUnit.MICROSECONDS) : results.poll());
             tick();
+            Runnable result = rounds.next();
             for (int i = 0; result != null; i++) {
+                long from = now;
                 guarded(result);
                 tick();
-                result = i < RESULTS_A_TURN ? results.poll() : null;
+                rounds.charge(now - from);
+                sort(results.poll());
+                result = i < RESULTS_A_TURN ? rounds.next() : null;
             }
             while (!deadlines.isEmpty() && deadlines.first().at <= now) {
                 guarded(deadlines.pollFirst().task);
@@ -101,6 +128,13 @@
         }
     }
 
+    /** Puts what has come into its flows. */
+    private void sort(Result result) {
+        for (Result each = result; each != null; each = results.poll()) {
+            rounds.add(each.flow(), each.task());
+        }
+    }
+
     private long untilNextDeadline() {
         return deadlines.isEmpty() ? Long.MAX_VALUE : Math.max(0, deadlines.first().at - now);
     }
--- a/gateway/src/main/java/shelffront/pg/Message.java
+++ b/gateway/src/main/java/shelffront/pg/Message.java
@@ -84,6 +84,18 @@
         return new String(body, from, end - from, ISO_8859_1);
     }
 
+    /** The parameters of a startup message, as far as they can be read. */
+    public Map<String, String> startupParameters() {
+        Map<String, String> parameters = new HashMap<>();
+        for (int at = 4; at < body.length && body[at] != 0;) {
+            String name = text(at);
+            String value = text(at + name.length() + 1);
+            parameters.putIfAbsent(name, value);
+            at += name.length() + value.length() + 2;
+        }
+        return parameters;
+    }
+
     /** The zero-terminated texts that make up the whole body. */
     public String[] texts(int count) throws ProtocolException {
         String[] texts = new String[count];
@@ -140,6 +152,11 @@
                 .put((byte) 0).array();
     }
 
+    /** AuthenticationCleartextPassword. */
+    public static byte[] askPassword() {
+        return new Message('R', new byte[] {0, 0, 0, 3}).bytes();
+    }
+
     public static byte[] authenticationOk() {
         return new Message('R', new byte[4]).bytes();
     }
--- a/gateway/src/main/java/shelffront/server/HostConnection.java
+++ b/gateway/src/main/java/shelffront/server/HostConnection.java
@@ -13,8 +13,6 @@
 /** A connection to a database host. It carries a single errand at a time and is closed to abandon one. */
 final class HostConnection extends Connection {
 
-    private static final String USER = "api";
-    private static final String DATABASE = "ledger";
     private static final int GREATEST_GREETING = 8192;
     /** An answer comes in one piece or in quick succession: one that stops half-way is spoilt. */
     private static final long ANSWER_TIME = 250_000;
@@ -37,7 +35,7 @@
         this.host = host;
         this.servers = servers;
         this.openBy = network.loop().after(openWithin, () -> close(CloseReason.CONNECT_TIMEOUT));
-        write(Message.startup(USER, DATABASE));
+        write(Message.startup(servers.login.user(), servers.login.database()));
         connect(host.address);
     }
 
--- a/gateway/src/main/java/shelffront/server/Servers.java
+++ b/gateway/src/main/java/shelffront/server/Servers.java
@@ -15,6 +15,7 @@
 import shelffront.route.Router.Status;
 import shelffront.config.MemberList;
 import shelffront.exchange.Attempt;
+import shelffront.net.Budget;
 import shelffront.net.CloseReason;
 import shelffront.net.Counters;
 import shelffront.net.Network;
@@ -31,20 +32,26 @@
         void probed(String member, Reply reply, long took);
     }
 
+    /** Who the hosts are told this is. */
+    public record Login(String user, String database) { }
+
     private static final byte[] PROBE = Message.query("SHOW usage".getBytes(US_ASCII));
 
     private final Network network;
     private final Limits limits;
-    private final int mostConnections;
+    private final Budget sockets;
+    final Login login;
     private final Listener listener;
     private final Map<String, Host> hosts = new TreeMap<>();
     private final Map<Attempt, Errand> errands = new HashMap<>();
-    private int connections;
+    private int probes;               // that are out
 
-    public Servers(Network network, Limits limits, int mostConnections, Listener listener) {
+    /** Each connection takes one of the sockets while it is open. */
+    public Servers(Network network, Limits limits, Budget sockets, Login login, Listener listener) {
         this.network = network;
         this.limits = limits;
-        this.mostConnections = mostConnections;
+        this.sockets = sockets;
+        this.login = login;
         this.listener = listener;
     }
 
@@ -86,6 +93,7 @@
     public void probe(String member) {
         Errand errand = new Errand(member, hosts.get(member), null, network.loop().now());
         network.counters().add(Counters.Name.PROBES_SENT);
+        probes++;
         errand.endBy = network.loop().after(limits.connectTimeout(), () -> giveUp(errand, Status.TIMEOUT));
         begin(errand);
     }
@@ -95,7 +103,7 @@
         Errand errand = errands.get(attempt);
         if (errand != null) {
             abandon(errand, CloseReason.CANCELLED);
-            network.loop().post(() -> finish(errand, Reply.of(Status.CANCELLED)));
+            network.post(() -> finish(errand, Reply.of(Status.CANCELLED)));
         }
     }
 
@@ -105,8 +113,23 @@
         }
     }
 
+    /** Ends every connection and whatever waits for one; outcomes follow where any are owed. */
     public void closeAll(CloseReason reason) {
-        hosts.values().forEach(h -> List.copyOf(h.connections).forEach(c -> c.close(reason)));
+        for (Host host : hosts.values()) {
+            List.copyOf(host.connections).forEach(c -> c.close(reason));
+            List.copyOf(host.waiting).forEach(e -> finish(e, Reply.of(Status.CONNECT_FAILED)));
+            host.waiting.clear();
+        }
+        // Hosts that have left the list may still carry some.
+        for (Errand errand : List.copyOf(errands.values())) {
+            abandon(errand, reason);
+            finish(errand, Reply.of(Status.CANCELLED));
+        }
+    }
+
+    /** Attempts and probes that are not over. */
+    public int outstanding() {
+        return errands.size() + probes;
     }
 
     private void closeIdle(Host host, CloseReason reason) {
@@ -116,7 +139,7 @@
     private void begin(Errand errand) {
         Host host = errand.host;
         if (host == null) {
-            network.loop().post(() -> finish(errand, Reply.of(Status.CONNECT_FAILED)));
+            network.post(() -> finish(errand, Reply.of(Status.CONNECT_FAILED)));
             return;
         }
         HostConnection connection = host.idle.pollLast();
@@ -134,7 +157,7 @@
 
     /** At the bound for sockets the errand waits for a connection of its host to come free. */
     private void open(Host host) {
-        if (connections >= mostConnections && !evict()) {
+        if (!sockets.take(1) && !(evict() && sockets.take(1))) {
             return;
         }
         AsynchronousSocketChannel channel;
@@ -142,9 +165,9 @@
             channel = network.newChannel();
         } catch (IOException e) {
             network.log().println("no socket for " + host.id + ": " + e.getMessage());
+            sockets.giveBack(1);
             return;
         }
-        connections++;
         host.opening++;
         network.counters().add(Counters.Name.HOST_CONNECTIONS_OPENED);
         host.connections.add(new HostConnection(network, channel, host, this, limits.connectTimeout()));
@@ -199,14 +222,14 @@
     /** A connection that ends while it opens takes the errand that waited longest with it. */
     void ended(HostConnection connection) {
         Host host = connection.host;
-        connections--;
+        sockets.giveBack(1);
         host.connections.remove(connection);
         host.idle.remove(connection);
         if (!connection.ready()) {
             host.opening--;
             Errand first = host.waiting.poll();
             if (first != null) {
-                network.loop().post(() -> finish(first, Reply.of(Status.CONNECT_FAILED)));
+                network.post(() -> finish(first, Reply.of(Status.CONNECT_FAILED)));
             }
         }
     }
@@ -243,6 +266,7 @@
             errands.remove(errand.attempt);
             listener.ended(errand.attempt, reply);
         } else {
+            probes--;
             listener.probed(errand.member, reply, network.loop().now() - errand.startedAt);
         }
     }
--- /dev/null
+++ b/gateway/src/main/java/shelffront/tenant/Tenants.java
@@ -0,0 +1,146 @@
+package shelffront.tenant;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongConsumer;
+import shelffront.client.Clients;
+import shelffront.net.Budget;
+import shelffront.net.CloseReason;
+import shelffront.net.Network;
+import shelffront.pg.ProtocolException;
+import shelffront.share.Rounds.Flow;
+import shelffront.share.Shares;
+
+/**
+ * The tenants of a gateway by their names, and the door by which clients find theirs: the database of the startup
+ * message. What all use is divided among them by {@link Shares}. On the turn thread.
+ */
+public final class Tenants implements Clients.Door {
+
+    private static final byte[] NOBODY = new byte[32];
+
+    private final Network network;
+    private final Shares shares;
+    private final Budget hostSockets;
+    private final Map<String, Tenant> tenants = new HashMap<>();
+    /** Removed or replaced, with work that is not over. */
+    private final Set<Tenant> leaving = new LinkedHashSet<>();
+    private long seed;
+
+    public Tenants(Network network, Shares shares, Budget hostSockets, long seed) {
+        this.network = network;
+        this.shares = shares;
+        this.hostSockets = hostSockets;
+        this.seed = seed;
+    }
+
+    /** Takes up a tenant, new or changed; {@code inForce} is told the time once requests are under it alone. */
+    public void apply(TenantSpec spec, LongConsumer inForce) {
+        Tenant running = tenants.get(spec.id());
+        if (running != null && running.change(spec)) {
+            inForce.accept(network.loop().now());
+            return;
+        }
+        Flow<Runnable> flow = new Flow<>(spec.weight());
+        Tenant next = new Tenant(network.of(spec.id(), flow, spec.bounds().bufferBytes()), spec, seed++,
+                new Budget(hostSockets, spec.bounds().hostConnections()), shares);
+        tenants.put(spec.id(), next);
+        if (running == null) {
+            inForce.accept(network.loop().now());
+            return;
+        }
+        // What it asks for only a new module can do: this one serves from now on, that one ends what it has.
+        next.succeeds();
+        leave(running, spec.grace(), at -> {
+            next.predecessorGone();
+            inForce.accept(at);
+        });
+    }
+
+    /** Takes a tenant out of service; {@code gone} is told the time once nothing of it is left. */
+    public void remove(String id, LongConsumer gone) {
+        Tenant tenant = tenants.remove(id);
+        if (tenant == null) {
+            gone.accept(network.loop().now());
+        } else {
+            leave(tenant, tenant.spec().grace(), gone);
+        }
+    }
+
+    private void leave(Tenant tenant, long grace, LongConsumer gone) {
+        leaving.add(tenant);
+        tenant.remove(grace, () -> {
+            leaving.remove(tenant);
+            gone.accept(network.loop().now());
+        });
+    }
+
+    /** A tenant's use, or null where there is none of that name. */
+    public Tenant.Usage usage(String id) {
+        Tenant tenant = tenants.get(id);
+        return tenant == null ? null : tenant.usage();
+    }
+
+    public Collection<Tenant> all() {
+        return List.copyOf(tenants.values());
+    }
+
+    /** Whether no request of any tenant is open. */
+    public boolean isEmpty() {
+        return tenants.values().stream().allMatch(Tenant::isEmpty) && leaving.stream().allMatch(Tenant::isEmpty);
+    }
+
+    public void close(CloseReason reason) {
+        tenants.values().forEach(t -> t.close(reason));
+        leaving.forEach(t -> t.close(reason));
+    }
+
+    // ---- The door ---------------------------------------------------------------------------------------------
+
+    private Tenant named(Map<String, String> startup) {
+        String user = startup.getOrDefault("user", "");
+        return tenants.get(startup.getOrDefault("database", user));
+    }
+
+    /** Only of those who admit everybody can anything be learnt without a key. */
+    @Override
+    public boolean asksPassword(Map<String, String> startup) {
+        Tenant tenant = named(startup);
+        return tenant == null || !tenant.spec().credentials().isEmpty();
+    }
+
+    @Override
+    public Tenant admit(Map<String, String> startup) throws ProtocolException {
+        Tenant tenant = named(startup);
+        if (tenant == null) {
+            throw nobody();
+        }
+        tenant.checkRoom();
+        return tenant;
+    }
+
+    @Override
+    public Tenant admit(Map<String, String> startup, byte[] password) throws ProtocolException {
+        Tenant tenant = named(startup);
+        String user = startup.getOrDefault("user", "");
+        boolean known = false;
+        for (TenantSpec.Credential c : tenant == null ? List.<TenantSpec.Credential>of()
+                : tenant.spec().credentials()) {
+            known |= c.user().equals(user) && Keys.matches(c.hash(), password);
+        }
+        // A name that nobody has costs a comparison too, and is answered in the same words.
+        if (tenant == null && Keys.matches(NOBODY, password) || !known) {
+            throw nobody();
+        }
+        tenant.checkRoom();
+        return tenant;
+    }
+
+    private static ProtocolException nobody() {
+        return new ProtocolException("3D000", "there is no such database for this user");
+    }
+}
--- a/gateway/src/test/java/shelffront/gateway/Stage.java
+++ b/gateway/src/test/java/shelffront/gateway/Stage.java
@@ -5,7 +5,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.io.PrintStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -26,6 +25,7 @@
 import shelffront.config.SettingsReader;
 import shelffront.net.Budget;
 import shelffront.net.Counters;
+import shelffront.net.Log;
 import shelffront.net.Network;
 import shelffront.net.TurnLoop;
 
@@ -145,17 +145,7 @@
                 Integer.parseInt(given.getOrDefault("@sockets", "1024")), 100,
                 SettingsReader.read((Map<?, ?>) Json.object(Files.readString(EXAMPLE)).get("settings")),
                 MemberList.read(Json.object(known)));
-        PrintStream lines = new PrintStream(new ByteArrayOutputStream()) {
-            @Override
-            public void println(String line) {
-                log.add(line);
-            }
-
-            @Override
-            public void println(Object line) {
-                log.add(line.toString());
-            }
-        };
+        Log lines = line -> log.add(line.toString());
         Network network = Network.open(loop, new Budget(1 << 20), counters, lines);
         gateway = new Gateway(network, config);
         reload = new Reload(network, gateway, Map.of("BALANCER_CONFIG", file.toString()));
