Add the durable store, the administration API, the command line and the lab's flood proof

Need: tenants as data that operators and tenants' own administrators change while a gateway runs, and a proof that one tenant's rush does not starve another.

The lab begins with stand-in boxes, open-loop load and experiments with claims.

Removal left a connection open: the module probed for a tenant that was gone; mended, with the test that found it.

--- a/core/src/main/java/shelffront/share/Shares.java
+++ b/core/src/main/java/shelffront/share/Shares.java
@@ -140,9 +140,9 @@
         return 0;
     }
 
-    /** Places that are a tenant's own while others ask too. */
+    /** Places that are a tenant's own; one that asks alone leaves some all the same, for whoever comes next. */
     private double own(Share share) {
-        return Math.max(1, Math.floor(places * share.weight / weights));
+        return Math.max(1, Math.min(places * LENT, Math.floor(places * share.weight / weights)));
     }
 
     /** The request has had its answer. */
--- a/gateway/src/main/java/shelffront/Main.java
+++ b/gateway/src/main/java/shelffront/Main.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import shelffront.benchlink.Wire;
+import shelffront.cli.Cli;
 import shelffront.config.GatewayConfig;
 import shelffront.config.MalformedInputException;
 import shelffront.gateway.Gateway;
@@ -36,6 +37,7 @@
     private Main() { }
 
     public static void main(String[] args) {
+        // The platform's commands load nothing of the command line's library.
         String command = args.length == 1 ? args[0] : "";
         try {
             switch (command) {
@@ -43,10 +45,7 @@
                 case "rehearse" -> rehearse();
                 case "benchlink" -> new Wire(new FileInputStream(FileDescriptor.in),
                         new FileOutputStream(FileDescriptor.out)).run();
-                default -> {
-                    System.err.println("usage: java -jar shelffront.jar serve|benchlink|rehearse");
-                    System.exit(2);
-                }
+                default -> System.exit(Cli.run(args));
             }
         } catch (MalformedInputException | IOException e) {
             System.err.println("shelffront: " + e.getMessage());
--- /dev/null
+++ b/gateway/src/main/java/shelffront/admin/Tenancy.java
@@ -0,0 +1,153 @@
+package shelffront.admin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
+import shelffront.store.Store;
+import shelffront.store.Store.Audit;
+import shelffront.store.Store.ConflictException;
+import shelffront.store.Store.Entry;
+import shelffront.store.Store.Kind;
+import shelffront.tenant.SpecJson;
+import shelffront.tenant.SpecJson.SpecException;
+import shelffront.tenant.Tenant;
+import shelffront.tenant.TenantSpec;
+
+/**
+ * Tenants as administrators change them: first in the store, then in the running gateway, in the order of revisions.
+ * Remembers which changes are in force. Any thread may call.
+ */
+public final class Tenancy {
+
+    /** The running gateway; each call is carried out later, in the order of the calls. */
+    public interface Control {
+
+        void apply(TenantSpec spec, LongConsumer inForce);
+
+        void remove(String id, LongConsumer gone);
+
+        /** Null where the gateway runs no such tenant. */
+        CompletableFuture<Tenant.Usage> usage(String id);
+    }
+
+    private static final int REMEMBERED = 10_000;   // Changes whose time in force is known.
+
+    private final Store store;
+    private final Control control;
+    private final LongSupplier clock;
+    private final Map<Long, Long> inForce = new LinkedHashMap<>();
+    private volatile long startedAt;          // the revision that the gateway began with
+    private volatile long startTime;
+
+    /** The clock gives Unix milliseconds. */
+    public Tenancy(Store store, Control control, LongSupplier clock) {
+        this.store = store;
+        this.control = control;
+        this.clock = clock;
+    }
+
+    /** Puts all tenants of the store into the gateway, at its start. */
+    public void start() throws SpecException {
+        startedAt = store.revision();
+        startTime = clock.getAsLong();
+        for (Entry entry : store.all(Kind.TENANT)) {
+            control.apply(SpecJson.read(entry.document()), at -> { });
+        }
+    }
+
+    public Entry get(String id) {
+        return store.get(Kind.TENANT, id);
+    }
+
+    public List<Entry> all() {
+        return store.all(Kind.TENANT);
+    }
+
+    /** Puts a tenant in place of the one at a revision, 0 for none; gives the new revision. */
+    public long put(String id, long expected, JsonNode document, String who, String what)
+            throws SpecException, ConflictException {
+        TenantSpec spec = SpecJson.read(document);
+        if (!spec.id().equals(id)) {
+            throw new SpecException("/id", "is not the name in the path");
+        }
+        synchronized (this) {                 // the gateway is told in the order of revisions
+            long revision = store.put(Kind.TENANT, id, expected, document, who, what, clock.getAsLong());
+            control.apply(spec, at -> nowInForce(revision, at));
+            return revision;
+        }
+    }
+
+    public long remove(String id, long expected, String who) throws ConflictException {
+        synchronized (this) {
+            long revision = store.put(Kind.TENANT, id, expected, null, who, "remove", clock.getAsLong());
+            control.remove(id, at -> nowInForce(revision, at));
+            return revision;
+        }
+    }
+
+    /** Drains a box of a tenant or ends its drain; gives the tenant's revision, 0 where there is no such tenant. */
+    public long drain(String id, String box, boolean on, String who) throws SpecException, ConflictException {
+        synchronized (this) {
+            Entry entry = get(id);
+            if (entry == null) {
+                return 0;
+            }
+            TreeSet<String> drained = new TreeSet<>();
+            entry.document().path("drained").forEach(d -> drained.add(d.asText()));
+            if (on ? !drained.add(box) : !drained.remove(box)) {
+                return entry.revision();
+            }
+            ObjectNode next = entry.document().deepCopy();
+            ArrayNode list = next.putArray("drained");
+            drained.forEach(list::add);
+            return put(id, entry.revision(), next, who, (on ? "drain " : "undrain ") + box);
+        }
+    }
+
+    public CompletableFuture<Tenant.Usage> usage(String id) {
+        return control.usage(id);
+    }
+
+    private void nowInForce(long revision, long atMicros) {
+        synchronized (inForce) {
+            inForce.put(revision, atMicros / 1000);
+            if (inForce.size() > REMEMBERED) {
+                inForce.remove(inForce.keySet().iterator().next());
+            }
+            inForce.notifyAll();
+        }
+    }
+
+    /**
+     * Changes of tenants after a revision, oldest first, whether or not they are in force yet; waits as long as given
+     * until one of them is.
+     */
+    public List<Audit> changes(long after, long waitMillis, String onlyTenant) throws InterruptedException {
+        long until = System.nanoTime() + waitMillis * 1_000_000;
+        synchronized (inForce) {
+            while (true) {
+                List<Audit> found = store.audits(after, 1000).stream().filter(a -> a.kind() == Kind.TENANT
+                        && (onlyTenant == null || a.name().equals(onlyTenant))).toList();
+                long left = (until - System.nanoTime()) / 1_000_000;
+                if (left <= 0 || found.stream().anyMatch(a -> inForceAt(a.revision()) > 0)) {
+                    return found;
+                }
+                inForce.wait(left);
+            }
+        }
+    }
+
+    /** When a change came into force, or the gateway started with it, in Unix milliseconds; 0 if it is not yet. */
+    public long inForceAt(long revision) {
+        synchronized (inForce) {
+            return inForce.getOrDefault(revision, revision <= startedAt ? startTime : 0);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/shelffront/hosted/HostedConfig.java
@@ -0,0 +1,95 @@
+package shelffront.hosted;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Set;
+import shelffront.config.GatewayConfig;
+import shelffront.config.MalformedInputException;
+import shelffront.tenant.SpecJson;
+import shelffront.tenant.SpecJson.SpecException;
+
+/**
+ * What a hosted gateway is told by its own file.
+ *
+ * @param admin where administrators connect; null for no administration
+ * @param store the file that keeps what they set; null to keep it in memory only
+ * @param sockets descriptors that it may use
+ * @param bufferBytes for all connections and requests together
+ * @param requestsPerSecond what it can take, divided among the tenants by weight; 0 is no bound
+ * @param openRequests places for open requests, divided likewise
+ * @param tenants put into the store at the start where it has none of that name
+ */
+public record HostedConfig(InetSocketAddress listen, InetSocketAddress admin, Path store, int sockets,
+        long bufferBytes, double requestsPerSecond, int openRequests, List<JsonNode> tenants) {
+
+    private static final Set<String> NAMES = Set.of("listen", "admin", "store", "sockets", "bufferBytes", "capacity",
+            "tenants");
+    private static final Set<String> CAPACITY_NAMES = Set.of("requestsPerSecond", "openRequests");
+
+    /** Throws with the pointer to the first field at fault. */
+    public static HostedConfig read(JsonNode top) throws SpecException {
+        if (!top.isObject()) {
+            throw new SpecException("", "not a JSON object");
+        }
+        known(top, "", NAMES);
+        JsonNode capacity = top.path("capacity");
+        known(capacity, "/capacity", CAPACITY_NAMES);
+        List<JsonNode> tenants = new ArrayList<>();
+        List<String> ids = new ArrayList<>();
+        for (JsonNode tenant : top.path("tenants")) {
+            String at = "/tenants/" + tenants.size();
+            try {
+                String id = SpecJson.read(tenant).id();
+                if (ids.contains(id)) {
+                    throw new SpecException("/id", "two tenants have this id");
+                }
+                ids.add(id);
+            } catch (SpecException e) {
+                throw new SpecException(at + e.pointer(), e.getMessage());
+            }
+            tenants.add(tenant);
+        }
+        if (!top.path("store").isMissingNode() && !top.path("store").isTextual()) {
+            throw new SpecException("/store", "is not the path of a file");
+        }
+        return new HostedConfig(address(top, "listen"), top.has("admin") ? address(top, "admin") : null,
+                top.has("store") ? Path.of(top.path("store").asText()) : null,
+                (int) number(top, "", "sockets", 64, 1_000_000, 1024),
+                (long) number(top, "", "bufferBytes", 1 << 20, 1L << 40, 64L << 20),
+                number(capacity, "/capacity", "requestsPerSecond", 0, 1e7, 0),
+                (int) number(capacity, "/capacity", "openRequests", 1, 1e7, 2000), List.copyOf(tenants));
+    }
+
+    private static void known(JsonNode object, String at, Set<String> names) throws SpecException {
+        for (Iterator<String> each = object.fieldNames(); each.hasNext();) {
+            String name = each.next();
+            if (!names.contains(name)) {
+                throw new SpecException(at + "/" + name, "is not a setting");
+            }
+        }
+    }
+
+    private static double number(JsonNode object, String at, String name, double least, double most, double absent)
+            throws SpecException {
+        JsonNode value = object.path(name);
+        if (value.isMissingNode()) {
+            return absent;
+        }
+        if (!value.isNumber() || value.asDouble() < least || value.asDouble() > most) {
+            throw new SpecException(at + "/" + name, "is not a number from " + (long) least + " to " + (long) most);
+        }
+        return value.asDouble();
+    }
+
+    private static InetSocketAddress address(JsonNode top, String name) throws SpecException {
+        try {
+            return GatewayConfig.address(top.path(name).asText());
+        } catch (MalformedInputException | IllegalArgumentException e) {
+            throw new SpecException("/" + name, "is not an address host:port");
+        }
+    }
+}
--- a/gateway/src/main/java/shelffront/net/Counters.java
+++ b/gateway/src/main/java/shelffront/net/Counters.java
@@ -42,6 +42,11 @@
         return values.getOrDefault(name, 0L);
     }
 
+    /** A copy, by name. */
+    public Map<String, Long> values() {
+        return values.entrySet().stream().collect(Collectors.toMap(e -> e.getKey().name(), Map.Entry::getValue));
+    }
+
     @Override
     public String toString() {
         return values.entrySet().stream().map(e -> e.getKey().name().toLowerCase(Locale.ROOT) + "=" + e.getValue())
--- a/gateway/src/main/java/shelffront/net/QueuedLog.java
+++ b/gateway/src/main/java/shelffront/net/QueuedLog.java
@@ -4,7 +4,6 @@
 
 import java.io.PrintStream;
 import java.util.concurrent.ArrayBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
@@ -14,6 +13,7 @@
 public final class QueuedLog implements Log {
 
     private static final int LINES = 4096;
+    private static final long PAUSE_MS = 20;
 
     private final ArrayBlockingQueue<String> lines = new ArrayBlockingQueue<>(LINES);
     private final AtomicLong dropped = new AtomicLong();
@@ -42,8 +42,10 @@
     private void write() {
         try {
             while (!closed || !lines.isEmpty()) {
-                String line = lines.poll(100, TimeUnit.MILLISECONDS);
+                // Looks at times of its own instead of being woken for each line, which would cost the turn thread.
+                String line = lines.poll();
                 if (line == null) {
+                    Thread.sleep(PAUSE_MS);
                     continue;
                 }
                 StringBuilder text = new StringBuilder(line).append('\n');
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -275,12 +275,12 @@
     /** What it uses now and what it has done since the start. */
     public Usage usage() {
         return new Usage(clients.size(), exchanges.size(), sockets.held(), network.budget().held(),
-                network.counters());
+                network.counters().values());
     }
 
     /** Counts of the moment, and counters since the start. */
     public record Usage(int clientConnections, int openRequests, long hostConnections, long bufferBytes,
-            Counters counters) { }
+            Map<String, Long> counters) { }
 
     // ---- From the client side ---------------------------------------------------------------------------------
 
@@ -486,9 +486,12 @@
         }
     }
 
+    /** Guards against connections that outlive a tenant: the module answers what a removal cut off with a probe. */
     @Override
     public void probe(String member) {
-        servers.probe(member);
+        if (state == State.ACTIVE || state == State.DRAINING) {
+            servers.probe(member);
+        }
     }
 
     @Override
--- /dev/null
+++ b/lab/src/main/java/shelffront/lab/LabMain.java
@@ -0,0 +1,66 @@
+package shelffront.lab;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import shelffront.cli.Templates;
+import shelffront.lab.experiment.Experiment;
+import shelffront.tenant.SpecJson.SpecException;
+
+/** The lab's commands. */
+@Command(name = "shelffront-lab", mixinStandardHelpOptions = true,
+        description = "Plays load and faults against shelffront on stand-in boxes of its own.",
+        subcommands = {LabMain.Run.class, Demo.class})
+public final class LabMain {
+
+    private LabMain() { }
+
+    public static void main(String[] arguments) {
+        CommandLine line = new CommandLine(new LabMain());
+        line.setExecutionExceptionHandler((e, command, result) -> {
+            command.getErr().println("shelffront-lab: " + e.getMessage());
+            return 1;
+        });
+        if (arguments.length == 0) {
+            line.usage(line.getErr());
+            System.exit(2);
+        }
+        System.exit(line.execute(arguments));
+    }
+
+    /** Plays one experiment. */
+    @Command(name = "run", mixinStandardHelpOptions = true, description = {"Plays an experiment and prints its table.",
+        "Exit codes: 0 every claim kept, 1 one was not, 2 the machine was too slow to tell."})
+    static final class Run implements Callable<Integer> {
+
+        @Parameters(paramLabel = "FILE", description = "Jsonnet or JSON, see lab/experiments")
+        private Path file;
+
+        @Option(names = "--keep", paramLabel = "FILE", description = "write the table here too, as Markdown")
+        private Path keep;
+
+        @Override
+        public Integer call() throws IOException, SpecException, InterruptedException {
+            Experiment.Report report = Experiment.run(Templates.evaluate(file));
+            List<String> lines = new ArrayList<>(report.table());
+            lines.add("");
+            report.claims().forEach(c -> lines.add("- " + c));
+            if (report.isVoid()) {
+                lines.add("- void: the load itself was late, so the machine was too slow to tell");
+            }
+            lines.forEach(System.out::println);
+            if (keep != null) {
+                lines.add(0, "# " + file.getFileName() + "\n");
+                Files.write(keep, lines);
+            }
+            return report.isVoid() ? 2 : report.kept() ? 0 : 1;
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/shelffront/lab/experiment/Experiment.java
@@ -0,0 +1,224 @@
+package shelffront.lab.experiment;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import shelffront.hosted.Hosted;
+import shelffront.hosted.HostedConfig;
+import shelffront.lab.load.Load;
+import shelffront.lab.standin.StandInSet;
+import shelffront.tenant.SpecJson;
+import shelffront.tenant.SpecJson.SpecException;
+
+/**
+ * Phases of open-loop load on a hosted gateway in this process, each tenant with stand-in boxes of its own on loopback,
+ * and claims about what they show. The file says all of it; see {@code lab/experiments}.
+ */
+public final class Experiment {
+
+    /** How an experiment ended: its table, and whether each claim was kept. */
+    public record Report(List<String> table, List<String> claims, boolean kept, boolean isVoid) { }
+
+    /** Where even one request in a hundred was sent this late, the machine was too slow to tell anything. */
+    private static final long MOST_LAG_MICROS = 50_000;
+
+    private final JsonNode file;
+    private final List<String> table = new ArrayList<>();
+    private final List<String> claims = new ArrayList<>();
+    private final Map<String, Map<String, Load.Result>> results = new LinkedHashMap<>();
+    private final Map<String, Double> costs = new LinkedHashMap<>();
+    private boolean kept = true;
+    private boolean tooSlow;
+
+    private Experiment(JsonNode file) {
+        this.file = file;
+    }
+
+    public static Report run(JsonNode file) throws IOException, SpecException, InterruptedException {
+        Experiment experiment = new Experiment(file);
+        experiment.play();
+        return new Report(List.copyOf(experiment.table), List.copyOf(experiment.claims), experiment.kept,
+                experiment.tooSlow);
+    }
+
+    private void play() throws IOException, SpecException, InterruptedException {
+        table.add("| phase | tenant | weight | due/s | on time/s | worth kept | refused | late | failed | unanswered "
+                + "| p50 ms | p99 ms | load lag p99 ms | gateway CPU us/request |");
+        table.add("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+        for (JsonNode phase : file.path("phases")) {
+            phase(phase);
+        }
+        for (JsonNode claim : file.path("claims")) {
+            claim(claim);
+        }
+    }
+
+    private void phase(JsonNode phase) throws IOException, SpecException, InterruptedException {
+        Map<String, StandInSet> sets = new LinkedHashMap<>();
+        try {
+            ObjectNode config = SpecJson.JSON.createObjectNode().put("listen", "127.0.0.1:0")
+                    .put("sockets", file.path("sockets").asInt(4096));
+            config.set("capacity", file.path("capacity"));
+            ArrayNode tenants = config.putArray("tenants");
+            int most = phase.path("tenants").asInt(Integer.MAX_VALUE);
+            boolean oneSet = file.path("oneSet").asBoolean(false);
+            for (Iterator<String> each = file.path("tenants").fieldNames(); each.hasNext() && tenants.size() < most;) {
+                String id = each.next();
+                StandInSet boxes = sets.get("all");
+                if (boxes == null) {
+                    JsonNode set = file.path("set");
+                    boxes = new StandInSet(id, set.path("replicas").asInt(2), set.path("cores").asInt(16),
+                            set.path("workMs").asDouble(5), set.path("lagMs").asLong(10));
+                    sets.put(oneSet ? "all" : id, boxes);
+                }
+                tenants.add(tenant(id, file.path("tenants").path(id), boxes));
+            }
+            Hosted hosted = new Hosted(HostedConfig.read(config), line -> { });
+            Thread turns = new Thread(() -> {
+                try {
+                    hosted.run();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }, "turns");
+            turns.start();
+            load(phase, hosted.address(), turns);
+            hosted.drain();
+            turns.join();
+        } finally {
+            sets.values().forEach(StandInSet::close);
+        }
+    }
+
+    private static ObjectNode tenant(String id, JsonNode given, StandInSet set) {
+        ObjectNode tenant = given.deepCopy();
+        tenant.put("id", id);
+        ArrayNode list = tenant.putObject("boxes").putArray("list");
+        for (StandInSet.Box box : set.boxes()) {
+            list.addObject().put("id", box.id()).put("address", box.address()).put("group", 1)
+                    .put("role", box.isPrimary() ? "primary" : "replica");
+        }
+        return tenant;
+    }
+
+    /** Nanoseconds of CPU that the gateway's own threads have used: the turn thread and the completions'. */
+    private static long cpu(Thread turns) {
+        ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+        long sum = threads.getThreadCpuTime(turns.getId());
+        for (Thread each : Thread.getAllStackTraces().keySet()) {
+            sum += each.getName().equals("completions") ? Math.max(0, threads.getThreadCpuTime(each.getId())) : 0;
+        }
+        return sum;
+    }
+
+    private void load(JsonNode phase, InetSocketAddress address, Thread turns)
+            throws IOException, InterruptedException {
+        String name = phase.path("name").asText();
+        InetSocketAddress gateway = new InetSocketAddress(InetAddress.getLoopbackAddress(), address.getPort());
+        double warm = file.path("warmSeconds").asDouble(2);
+        double seconds = file.path("seconds").asDouble(5);
+        run(phase, gateway, warm);                 // compiled code and known boxes before anything counts
+        long before = cpu(turns);
+        Map<String, Load.Result> measured = run(phase, gateway, seconds);
+        double cost = (cpu(turns) - before) / 1e3 / measured.values().stream().mapToLong(r -> r.due.sum()).sum();
+        results.put(name, measured);
+        costs.put(name, cost);
+        measured.forEach((tenant, r) -> {
+            long lag = r.lag.getValueAtPercentile(99);
+            boolean calm = phase.path("load").path(tenant).path("calm").asBoolean(false);
+            tooSlow |= calm && lag > MOST_LAG_MICROS;
+            table.add(String.format(Locale.ROOT,
+                    "| %s | %s | %s | %.0f | %.0f | %.3f | %d | %d | %d | %d | %.1f | %.1f | %.1f | %.0f |", name, tenant,
+                    file.path("tenants").path(tenant).path("weight").asText("1"), r.due.sum() / seconds,
+                    r.onTime.sum() / seconds, r.worthKept(), r.refused.sum(), r.late.sum(), r.failed.sum(),
+                    r.unanswered.sum(), r.served.getValueAtPercentile(50) / 1e3,
+                    r.served.getValueAtPercentile(99) / 1e3, lag / 1e3, cost));
+        });
+    }
+
+    private Map<String, Load.Result> run(JsonNode phase, InetSocketAddress gateway, double seconds)
+            throws InterruptedException {
+        Map<String, Load.Result> all = new LinkedHashMap<>();
+        List<Thread> threads = new ArrayList<>();
+        for (Iterator<String> each = phase.path("load").fieldNames(); each.hasNext();) {
+            String tenant = each.next();
+            JsonNode l = phase.path("load").path(tenant);
+            JsonNode c = file.path("tenants").path(tenant).path("classes").path(l.path("class").asInt(0));
+            Load.Kind kind = new Load.Kind(c.path("name").asText(), c.path("read").asText().equals("write"),
+                    c.path("aimMs").asInt(c.path("giveUpMs").asInt()), c.path("giveUpMs").asInt());
+            Load load = new Load(gateway, tenant, null, kind, l.path("perSecond").asDouble(),
+                    l.path("connections").asInt(64));
+            Thread thread = new Thread(() -> {
+                try {
+                    Load.Result result = load.run(seconds);
+                    synchronized (all) {
+                        all.put(tenant, result);
+                    }
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }, "phase " + tenant);
+            threads.add(thread);
+            thread.start();
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        return all;
+    }
+
+    private void claim(JsonNode claim) {
+        double within = claim.path("within").asDouble();
+        Map<String, Load.Result> phase = results.get(claim.path("phase").asText());
+        if (claim.has("costAgainst")) {
+            double alone = costs.get(claim.path("costAgainst").asText());
+            double now = costs.get(claim.path("phase").asText());
+            say(now <= alone * (1 + within), String.format(Locale.ROOT,
+                    "a request costs the gateway %.1f us of CPU in phase %s, in phase %s %.1f: at most %.0f %% more", now,
+                    claim.path("phase").asText(), claim.path("costAgainst").asText(), alone, within * 100));
+            return;
+        }
+        if (claim.has("against")) {
+            String tenant = claim.path("tenant").asText();
+            double alone = results.get(claim.path("against").asText()).get(tenant).worthKept();
+            double now = phase.get(tenant).worthKept();
+            say(now >= alone * (1 - within), String.format(Locale.ROOT,
+                    "%s keeps %.3f of its worth in phase %s, alone %.3f: within %.0f %%", tenant, now,
+                    claim.path("phase").asText(), alone, within * 100));
+            return;
+        }
+        double weights = 0;
+        double served = 0;
+        for (var each : phase.entrySet()) {
+            weights += weight(each.getKey());
+            served += each.getValue().onTime.sum() + each.getValue().late.sum();
+        }
+        for (var each : phase.entrySet()) {
+            double share = (each.getValue().onTime.sum() + each.getValue().late.sum()) / served;
+            double due = weight(each.getKey()) / weights;
+            say(Math.abs(share - due) <= within * due, String.format(Locale.ROOT,
+                    "%s is served %.3f of all in phase %s, by weight %.3f: within %.0f %%", each.getKey(), share,
+                    claim.path("phase").asText(), due, within * 100));
+        }
+    }
+
+    private double weight(String tenant) {
+        return file.path("tenants").path(tenant).path("weight").asDouble(1);
+    }
+
+    private void say(boolean isKept, String text) {
+        kept &= isKept;
+        claims.add((isKept ? "kept: " : "NOT kept: ") + text);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
@@ -0,0 +1,343 @@
+package shelffront.lab;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import shelffront.hosted.Hosted;
+import shelffront.hosted.HostedConfig;
+import shelffront.lab.standin.StandInSet;
+import shelffront.net.Counters;
+import shelffront.pg.Message;
+import shelffront.tenant.Keys;
+import shelffront.tenant.SpecJson;
+
+/** A hosted gateway with stand-in boxes, where tenants come, change, stall and go while requests are in it. */
+class HostedTenantsTest {
+
+    private static final int MISSING_MS = 20_000;
+
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Hosted hosted;
+    private Thread turns;
+
+    private void start(ObjectNode... tenants) throws Exception {
+        ObjectNode config = SpecJson.JSON.createObjectNode().put("listen", "127.0.0.1:0");
+        config.putObject("capacity").put("openRequests", 100);
+        ArrayNode list = config.putArray("tenants");
+        for (ObjectNode tenant : tenants) {
+            list.add(tenant);
+        }
+        hosted = new Hosted(HostedConfig.read(config), line -> { });
+        turns = new Thread(() -> {
+            try {
+                hosted.run();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        turns.start();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        hosted.drain();
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+        turns.join(MISSING_MS);
+        assertTrue(!turns.isAlive(), "the gateway did not stop");
+    }
+
+    private StandInSet boxes(String name, int replicas, double workMs) throws IOException {
+        StandInSet set = new StandInSet(name, replicas, 4, workMs, 5);
+        open.add(set);
+        return set;
+    }
+
+    private static ObjectNode tenant(String id, StandInSet set) {
+        ObjectNode tenant = SpecJson.JSON.createObjectNode().put("id", id).put("graceMs", 0);
+        ArrayNode classes = tenant.putArray("classes");
+        classes.addObject().put("name", "read").put("giveUpMs", 20_000).put("read", "any");
+        classes.addObject().put("name", "write").put("giveUpMs", 20_000).put("read", "write").put("effect", "keyed")
+                .put("windowMs", 2000);
+        ArrayNode list = tenant.putObject("boxes").putArray("list");
+        if (set != null) {
+            for (StandInSet.Box box : set.boxes()) {
+                list.addObject().put("id", box.id()).put("address", box.address()).put("group", 1)
+                        .put("role", box.isPrimary() ? "primary" : "replica");
+            }
+        }
+        return tenant;
+    }
+
+    /** A client; every message that comes is read whole. */
+    private final class Client implements AutoCloseable {
+
+        private final Socket socket;
+        private final DataInputStream in;
+
+        Client(String database, String password) throws IOException {
+            socket = new Socket(InetAddress.getLoopbackAddress(), hosted.address().getPort());
+            open.add(this);
+            socket.setSoTimeout(MISSING_MS);
+            in = new DataInputStream(socket.getInputStream());
+            socket.getOutputStream().write(Message.startup("api", database));
+            if (password != null) {
+                assertEquals("R", next().substring(0, 1));
+                socket.getOutputStream().write(new Message('p', (password + "\0").getBytes(ISO_8859_1)).bytes());
+            }
+        }
+
+        /** The next message's type and text; empty where the connection has ended. */
+        String next() throws IOException {
+            try {
+                int type = in.readUnsignedByte();
+                return (char) type + new String(in.readNBytes(in.readInt() - 4), ISO_8859_1);
+            } catch (EOFException | SocketException e) {
+                return "";
+            }
+        }
+
+        /** Reads to ReadyForQuery or the end; the answers on the way, each as "value" or an error's code. */
+        List<String> answers() throws IOException {
+            List<String> answers = new ArrayList<>();
+            for (String m = next(); !m.isEmpty() && m.charAt(0) != 'Z'; m = next()) {
+                if (m.charAt(0) == 'D') {
+                    answers.add(m.substring(7));
+                } else if (m.charAt(0) == 'E') {
+                    answers.add(m.substring(m.indexOf("\0C") + 2, m.indexOf("\0C") + 7));
+                }
+            }
+            return answers;
+        }
+
+        void send(String id, String type) throws IOException {
+            socket.getOutputStream().write(query(id, type));
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private static byte[] query(String id, String type) {
+        String statement = type.equals("write") ? "INSERT INTO rows VALUES ('h', 'x')" : "SELECT blob FROM rows";
+        return Message.query(("/* id=" + id + ",c=" + type + ",d=15000,k=" + id + ",cluster=1 */ " + statement)
+                .getBytes(ISO_8859_1));
+    }
+
+    private long counted(Counters.Name name) throws Exception {
+        return hosted.held().get(MISSING_MS, TimeUnit.MILLISECONDS).counters().get(name);
+    }
+
+    /** Waits, looking at counts of the program itself and not at a clock, until it has taken so many requests. */
+    private void untilTaken(long requests) throws Exception {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MISSING_MS);
+        while (counted(Counters.Name.REQUESTS_TAKEN) < requests) {
+            assertTrue(System.nanoTime() < end, "the requests were not taken");
+        }
+    }
+
+    private void removed(String id) throws Exception {
+        CompletableFuture<Long> gone = new CompletableFuture<>();
+        hosted.remove(id, gone::complete);
+        gone.get(MISSING_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** In flight at a box, held for want of a primary, and half received: one final answer each, and nothing stays. */
+    @Test
+    void aTenantRemovedWithRequestsInItAnswersEachOnceAndLeavesNothing() throws Exception {
+        StandInSet set = boxes("s", 1, 1);
+        set.boxes().forEach(b -> b.silence(true));
+        start(tenant("airport", set));
+        int idle = hosted.held().get(MISSING_MS, TimeUnit.MILLISECONDS).deadlines();
+        Client read = new Client("airport", null);
+        Client write = new Client("airport", null);
+        Client half = new Client("airport", null);
+        Client calm = new Client("airport", null);
+        for (Client client : List.of(read, write, half, calm)) {
+            assertEquals(List.of(), client.answers());
+        }
+        read.send("r1", "read");
+        write.send("w1", "write");
+        write.send("w2", "write");
+        byte[] bytes = query("h1", "read");
+        half.socket.getOutputStream().write(bytes, 0, bytes.length / 2);
+        untilTaken(2);
+        removed("airport");
+        assertEquals(1, read.answers().size());
+        List<String> firstWrite = write.answers();
+        assertEquals(1, firstWrite.size());
+        assertTrue(List.of("40003", "57P03").contains(firstWrite.get(0)), firstWrite.toString());
+        assertEquals(List.of("57P03"), write.answers(), "the one that waited behind it was never sent on");
+        assertEquals(List.of("57P03"), half.answers());
+        assertEquals(List.of("57P03"), calm.answers());
+        for (Client client : List.of(read, write, half, calm)) {
+            while (!client.next().isEmpty()) {
+                continue;                        // to the end of the connection
+            }
+        }
+        assertNull(hosted.usage("airport").get(MISSING_MS, TimeUnit.MILLISECONDS));
+        for (Client client : List.of(read, write, half, calm)) {
+            client.close();                      // the gateway lingers until its clients have closed too
+        }
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MISSING_MS);
+        Hosted.Held held = hosted.held().get(MISSING_MS, TimeUnit.MILLISECONDS);
+        while (set.connections() > 0 || held.deadlines() > idle || held.bufferBytes() > 0) {
+            assertTrue(System.nanoTime() < end, set.connections() + " connections to boxes and " + held + " stay");
+            held = hosted.held().get(MISSING_MS, TimeUnit.MILLISECONDS);
+        }
+        Client late = new Client("airport", "x");
+        assertEquals(List.of("3D000"), late.answers());
+    }
+
+    /** What a tenant has taken may end within the grace, and is served as if nothing were. */
+    @Test
+    void withinTheGraceWhatWasTakenIsServed() throws Exception {
+        StandInSet set = boxes("s", 1, 200);
+        start(tenant("airport", set).put("graceMs", 15_000));
+        Client client = new Client("airport", null);
+        assertEquals(List.of(), client.answers());
+        client.send("w1", "write");
+        untilTaken(1);
+        CompletableFuture<Long> gone = new CompletableFuture<>();
+        hosted.remove("airport", gone::complete);
+        assertEquals(List.of("w1"), client.answers());
+        client.send("w2", "write");
+        List<String> next = client.answers();
+        assertTrue(next.equals(List.of("57P03")) || next.isEmpty(), next.toString());
+        gone.get(MISSING_MS, TimeUnit.MILLISECONDS);
+        assertEquals(1, set.effects().size());
+    }
+
+    /** All boxes of one tenant are silent, and its clients fill its bounds; the other is served as ever. */
+    @Test
+    void aTenantWhoseBoxesAreSilentIsNotNoticedByAnother() throws Exception {
+        StandInSet silent = boxes("s", 1, 1);
+        silent.boxes().forEach(b -> b.silence(true));
+        StandInSet well = boxes("w", 1, 1);
+        ObjectNode stuck = tenant("stuck", silent);
+        stuck.putObject("limits").put("openRequests", 1000).put("clientConnections", 150).put("hostConnections", 20)
+                .put("bufferBytes", 262_144);
+        start(stuck, tenant("well", well));
+        for (int i = 0; i < 120; i++) {
+            Client client = new Client("stuck", null);
+            assertEquals(List.of(), client.answers());
+            client.send("s" + i, "read");
+        }
+        untilTaken(120);
+        Client client = new Client("well", null);
+        assertEquals(List.of(), client.answers());
+        for (int i = 0; i < 200; i++) {
+            client.send("a" + i, i % 2 == 0 ? "read" : "write");
+            assertEquals(List.of("a" + i), client.answers());
+        }
+        assertTrue(counted(Counters.Name.REFUSED_BY_SHARE) > 0, "the flood was not at its bound");
+    }
+
+    /** Requests that meet a change which only a new module can take up are each answered once. */
+    @Test
+    void aTenantWhoseClassesChangeUnderLoadLosesNothing() throws Exception {
+        StandInSet set = boxes("s", 1, 2);
+        start(tenant("airport", set).put("graceMs", 10_000));
+        for (int round = 0; round < 20; round++) {
+            Client client = new Client("airport", null);
+            assertEquals(List.of(), client.answers());
+            client.send("w" + round, "write");
+            untilTaken(round + 1);
+            ObjectNode next = tenant("airport", set).put("graceMs", 10_000);
+            ((ObjectNode) next.path("classes").path(0)).put("giveUpMs", 10_000 + round);
+            CompletableFuture<Long> inForce = new CompletableFuture<>();
+            hosted.apply(SpecJson.read(next), inForce::complete);
+            assertEquals(List.of("w" + round), client.answers());
+            inForce.get(MISSING_MS, TimeUnit.MILLISECONDS);
+        }
+        assertEquals(20, set.effects().size());
+        assertTrue(set.effects().values().stream().allMatch(n -> n.get() == 1), "a write was doubled");
+    }
+
+    @Test
+    void anAdministratorsDrainStopsNewWorkWithTheChange() throws Exception {
+        StandInSet set = boxes("s", 2, 1);
+        start(tenant("airport", set));
+        Client client = new Client("airport", null);
+        assertEquals(List.of(), client.answers());
+        ObjectNode next = tenant("airport", set);
+        next.putArray("drained").add("s-1");
+        CompletableFuture<Long> inForce = new CompletableFuture<>();
+        hosted.apply(SpecJson.read(next), inForce::complete);
+        inForce.get(MISSING_MS, TimeUnit.MILLISECONDS);
+        long before = set.boxes().get(1).begun();
+        for (int i = 0; i < 50; i++) {
+            client.send("r" + i, "read");
+            assertEquals(List.of("r" + i), client.answers());
+        }
+        assertEquals(before, set.boxes().get(1).begun());
+    }
+
+    /** A wrong key, another tenant's key and a name that nobody has are told the same. */
+    @Test
+    void keysAreOfOneTenantAlone() throws Exception {
+        StandInSet set = boxes("s", 0, 1);
+        String ours = Keys.generate();
+        String theirs = Keys.generate();
+        ObjectNode one = tenant("one", set);
+        one.putArray("credentials").addObject().put("user", "api")
+                .put("sha256", HexFormat.of().formatHex(Keys.hash(ours)));
+        ObjectNode other = tenant("other", set);
+        other.putArray("credentials").addObject().put("user", "api")
+                .put("sha256", HexFormat.of().formatHex(Keys.hash(theirs)));
+        start(one, other);
+        Client client = new Client("one", ours);
+        assertEquals(List.of(), client.answers());
+        client.send("r1", "read");
+        assertEquals(List.of("r1"), client.answers());
+        String refusal = null;
+        for (String[] wrong : new String[][] {{"one", theirs}, {"one", ours.substring(1)}, {"one", ""},
+            {"other", ours}, {"nobody", ours}, {"", ours}}) {
+            String answer = new Client(wrong[0], wrong[1]).next();
+            assertTrue(refusal == null || answer.equals(refusal), answer);
+            refusal = answer;
+        }
+        assertTrue(refusal.contains("3D000"), refusal);
+    }
+
+    /** 2,000 tenants at rest hold no timer and no connection. */
+    @Test
+    void tenantsThatRestCostNoTimerAndNoConnection() throws Exception {
+        StandInSet set = boxes("s", 1, 1);
+        ObjectNode[] tenants = new ObjectNode[2000];
+        for (int i = 0; i < tenants.length; i++) {
+            tenants[i] = tenant("t" + i, set);
+        }
+        start(tenants);
+        Hosted.Held held = hosted.held().get(MISSING_MS, TimeUnit.MILLISECONDS);
+        assertEquals(0, held.deadlines());
+        assertEquals(0, set.connections());
+        for (int i = 0; i < 20; i++) {
+            Client client = new Client("t" + i * 100, null);
+            assertEquals(List.of(), client.answers());
+            client.send("r" + i, "read");
+            assertEquals(List.of("r" + i), client.answers());
+        }
+        assertTrue(hosted.held().get(MISSING_MS, TimeUnit.MILLISECONDS).deadlines() < 400, "only the busy ones' timers");
+    }
+}
