--- a/gateway/src/main/java/shelffront/cli/Cli.java
+++ b/gateway/src/main/java/shelffront/cli/Cli.java
@@ -12,6 +12,7 @@
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.concurrent.Callable;
@@ -44,7 +45,8 @@
 @Command(name = "shelffront", mixinStandardHelpOptions = true, version = "shelffront 0.2.0",
         description = "A gateway that routes reads and writes of replicated databases.",
         subcommands = {Cli.Serve.class, Cli.Benchlink.class, Cli.Rehearse.class, Cli.Config.class, Cli.TenantCommand.class,
-            Cli.TokenCommand.class, GenerateCompletion.class})
+            Cli.TokenCommand.class, Cli.StoreCommand.class,
+            GenerateCompletion.class})
 public final class Cli {
 
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -281,6 +283,34 @@
         }
     }
 
+    /** The store of a gateway that does not run. */
+    @Command(name = "store", mixinStandardHelpOptions = true,
+            description = "Exports and imports the store of a gateway that does not run.")
+    static final class StoreCommand {
+
+        @Command(name = "export", description = "Writes all tenants and the hashes of tokens as one JSON document.")
+        int export(@Parameters(paramLabel = "FILE") Path file) throws IOException {
+            try (Store store = Store.open(file)) {
+                System.out.println(store.export().toPrettyString());
+            }
+            return 0;
+        }
+
+        @Command(name = "import", description = "Puts in all that an export holds, in place of what has the same name.")
+        int take(@Parameters(paramLabel = "FILE") Path file, @Parameters(paramLabel = "DOCUMENT") Path document)
+                throws IOException, SpecException {
+            JsonNode exported = SpecJson.parse(Files.readAllBytes(document));
+            // All of it is checked before any of it is put in.
+            for (JsonNode tenant : exported.path("tenant")) {
+                SpecJson.read(tenant);
+            }
+            try (Store store = Store.open(file)) {
+                System.out.println(store.importAll(exported, "command line", System.currentTimeMillis()) + " put in");
+            }
+            return 0;
+        }
+    }
+
     /** Administrators' tokens, of a running gateway or in the store of one that is stopped. */
     @Command(name = "token", mixinStandardHelpOptions = true, description = "Makes, rotates and revokes tokens.")
     static final class TokenCommand {
--- a/gateway/src/test/java/shelffront/cli/CliTest.java
+++ b/gateway/src/test/java/shelffront/cli/CliTest.java
@@ -10,6 +10,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import shelffront.hosted.HostedConfig;
+import shelffront.store.Store;
+import shelffront.store.Store.Kind;
+import shelffront.tenant.SpecJson;
 import shelffront.tenant.SpecJson.SpecException;
 
 class CliTest {
@@ -30,6 +33,23 @@
         assertEquals(0, Cli.run("config", "check", "../deploy/shelffront.jsonnet"));
     }
 
+    @Test
+    void aStoreIsExportedAndTakenInElsewhere() throws Exception {
+        Path document = folder.resolve("export.json");
+        Path copy = folder.resolve("copy.store");
+        try (Store store = Store.inMemory()) {
+            store.put(Kind.TENANT, "a", 0, SpecJson.parse(("{\"id\":\"a\",\"boxes\":{\"list\":[]},\"classes\":"
+                    + "[{\"name\":\"r\",\"giveUpMs\":10,\"read\":\"any\"}]}").getBytes()), "x", "create", 1);
+            Files.writeString(document, store.export().toString());
+        }
+        assertEquals(0, Cli.run("store", "import", copy.toString(), document.toString()));
+        try (Store store = Store.open(copy)) {
+            assertEquals("a", store.get(Kind.TENANT, "a").document().path("id").asText());
+        }
+        Files.writeString(document, Files.readString(document).replace("\"giveUpMs\":10", "\"giveUpMs\":-1"));
+        assertEquals(1, Cli.run("store", "import", copy.toString(), document.toString()), "a bad one is not taken in");
+    }
+
     /** Each bad file is refused, and the field at fault is named. */
     @Test
     void aBadFileIsRefusedByItsField() throws Exception {
