Let a tenant fall asleep after its last request too; read a hosted file anew on SIGHUP

Need: a tenant whose last client left while an attempt was out looked once, found it open and never slept; and a hosted gateway ended on SIGHUP.

Change: it looks again; SIGHUP puts in tenants that the store has none of.

--- a/gateway/src/main/java/shelffront/cli/Cli.java
+++ b/gateway/src/main/java/shelffront/cli/Cli.java
@@ -37,6 +37,7 @@
 import shelffront.store.Store.Kind;
 import shelffront.tenant.SpecJson;
 import shelffront.tenant.SpecJson.SpecException;
+import sun.misc.Signal;
 
 /**
  * The command line. Exit codes: 0 done, 1 it could not be done and says why, 2 the command line was not understood.
@@ -121,6 +122,14 @@
                     Thread.currentThread().interrupt();
                 }
             }, "stop"));
+            // Without a handler the JVM ends on SIGHUP.
+            Signal.handle(new Signal("HUP"), signal -> {
+                try {
+                    log.println("read " + file + " anew, " + hosted.seed(config(file)) + " tenants put in");
+                } catch (Failure | SpecException | ConflictException | RuntimeException e) {
+                    log.println("reload failed, what was in force stays: " + e.getMessage());
+                }
+            });
             if (hosted.adminAddress() != null && hosted.store().all(Kind.TOKEN).isEmpty()) {
                 log.println("first operator token, shown once: " + hosted.tokens().create(null, "first start"));
             }
--- a/gateway/src/main/java/shelffront/hosted/Hosted.java
+++ b/gateway/src/main/java/shelffront/hosted/Hosted.java
@@ -48,13 +48,8 @@
                     System.nanoTime());
             tokens = new Tokens(store, System::currentTimeMillis);
             tenancy = new Tenancy(store, this, System::currentTimeMillis);
-            for (JsonNode tenant : config.tenants()) {
-                String id = tenant.path("id").asText();
-                if (store.get(Kind.TENANT, id) == null) {
-                    store.put(Kind.TENANT, id, 0, tenant, "file", "create", System.currentTimeMillis());
-                }
-            }
             tenancy.start();
+            seed(config);
             gateway = new Gateway(network, config.listen(), config.sockets(), tenants);
             admin = config.admin() == null ? null : new AdminServer(config.admin(), store, tenancy, tokens, log);
         } catch (ConflictException e) {
@@ -66,6 +61,19 @@
         }
     }
 
+    /** Puts in the tenants of a file that the store has none of; those that it has stand as administrators left them. */
+    public int seed(HostedConfig config) throws SpecException, ConflictException {
+        int count = 0;
+        for (JsonNode tenant : config.tenants()) {
+            String id = tenant.path("id").asText();
+            if (store.get(Kind.TENANT, id) == null) {
+                tenancy.put(id, 0, tenant, "file", "create");
+                count++;
+            }
+        }
+        return count;
+    }
+
     /** Takes clients and administrators in, and serves until it is drained; the caller's thread is the turn thread. */
     public void run() throws InterruptedException {
         if (admin != null) {
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -134,7 +134,8 @@
     /** Gives back what a tenant without clients needs not. */
     private void fallAsleep() {
         sleep = null;
-        if (state != State.ACTIVE || !clients.isEmpty() || !exchanges.isEmpty()) {
+        if (!exchanges.isEmpty()) {
+            sleep = loop.at(loop.now() + SLEEP_AFTER, this::fallAsleep);   // what is still out ends before long
             return;
         }
         // What was known of boxes will be old by then; an empty list leaves the module its sessions' marks.
