--- a/gateway/src/main/java/shelffront/cli/Cli.java
+++ b/gateway/src/main/java/shelffront/cli/Cli.java
@@ -25,6 +25,7 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Parameters;
+import picocli.CommandLine.ScopeType;
 import picocli.CommandLine.Spec;
 import shelffront.admin.Tokens;
 import shelffront.hosted.Hosted;
@@ -189,11 +190,11 @@
     /** A running gateway's administration. */
     static final class Remote {
 
-        @Option(names = "--admin", paramLabel = "HOST:PORT", defaultValue = "127.0.0.1:8600",
+        @Option(names = "--admin", paramLabel = "HOST:PORT", defaultValue = "127.0.0.1:8600", scope = ScopeType.INHERIT,
                 description = "where the gateway's administration listens (${DEFAULT-VALUE})")
         private String admin;
 
-        @Option(names = "--token", paramLabel = "TOKEN", defaultValue = "${env:SHELFFRONT_TOKEN}",
+        @Option(names = "--token", paramLabel = "TOKEN", defaultValue = "${env:SHELFFRONT_TOKEN}", scope = ScopeType.INHERIT,
                 description = "the administrator's token; else in the environment as SHELFFRONT_TOKEN")
         private String token;
 
--- a/gateway/src/main/java/shelffront/hosted/Hosted.java
+++ b/gateway/src/main/java/shelffront/hosted/Hosted.java
@@ -88,6 +88,19 @@
         network.group().shutdown();
     }
 
+    /** Runs on a thread of its own, which ends with {@link #drain}. */
+    public Thread start() {
+        Thread turns = new Thread(() -> {
+            try {
+                run();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "turns");
+        turns.start();
+        return turns;
+    }
+
     /** Ends {@link #run} once what was taken is answered. Any thread may call. */
     public void drain() {
         loop.post(gateway::drain);
--- a/lab/src/main/java/shelffront/lab/Demo.java
+++ b/lab/src/main/java/shelffront/lab/Demo.java
@@ -35,14 +35,7 @@
                     .put("admin", "127.0.0.1:" + adminPort);
             config.putArray("tenants").add(sample(set));
             Hosted hosted = new Hosted(HostedConfig.read(config), System.out::println);
-            Thread turns = new Thread(() -> {
-                try {
-                    hosted.run();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }, "turns");
-            turns.start();
+            Thread turns = hosted.start();
             InetSocketAddress clients = new InetSocketAddress(InetAddress.getLoopbackAddress(),
                     hosted.address().getPort());
             String admin = "127.0.0.1:" + hosted.adminAddress().getPort();
--- a/lab/src/main/java/shelffront/lab/experiment/Experiment.java
+++ b/lab/src/main/java/shelffront/lab/experiment/Experiment.java
@@ -85,14 +85,7 @@
                 tenants.add(tenant(id, file.path("tenants").path(id), boxes));
             }
             Hosted hosted = new Hosted(HostedConfig.read(config), line -> { });
-            Thread turns = new Thread(() -> {
-                try {
-                    hosted.run();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            }, "turns");
-            turns.start();
+            Thread turns = hosted.start();
             load(phase, hosted.address(), turns);
             hosted.drain();
             turns.join();
