Test that a request held for want of a box is answered once when its tenant is removed

Need: of the three kinds of request in a tenant that is removed, the held one was not among the socket tests.

Change: a write to a group without boxes is held, the tenant removed; it gets 57P03 once, then the connection's end.

--- a/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
+++ b/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
@@ -202,6 +202,21 @@
         assertEquals(List.of("3D000"), late.answers());
     }
 
+    /** No box is known for its group, so the module holds it; the removal answers it, and only once. */
+    @Test
+    void aRequestThatIsHeldIsRefusedAtTheRemoval() throws Exception {
+        start(tenant("airport", boxes("s", 1, 1)));
+        Client client = new Client("airport", null);
+        assertEquals(List.of(), client.answers());
+        client.socket.getOutputStream().write(Message.query(
+                "/* id=w1,c=write,d=15000,k=w1,cluster=9 */ INSERT INTO rows VALUES ('h', 'x')".getBytes(ISO_8859_1)));
+        untilTaken(1);
+        removed("airport");
+        assertEquals(List.of("57P03"), client.answers());
+        assertEquals(List.of("57P03"), client.answers(), "then the connection is ended with the reason");
+        assertEquals("", client.next());
+    }
+
     /** What a tenant has taken may end within the grace, and is served as if nothing were. */
     @Test
     void withinTheGraceWhatWasTakenIsServed() throws Exception {
