Count the results that wait instead of looking through the flows each turn; drop dead code

Need: the review of the whole change found a stream made in every turn of the loop, a count of probes and four methods that nobody calls, and a method called once.

Change: Rounds keeps a count of what waits; Servers.outstanding with its count, Flow.size, Share.open, Tenants.all and an unused field are gone. No behaviour is changed.

Measured: the tests of rounds, shares, plays, command line, sleep, hosted tenants and arrows pass.

--- a/core/src/main/java/shelffront/share/Rounds.java
+++ b/core/src/main/java/shelffront/share/Rounds.java
@@ -9,7 +9,7 @@
  */
 public final class Rounds<T> {
 
-    /** The greatest cost that one item counts, in quanta: bounds how long a flow waits for what it cost. */
+    /** The most that a flow may owe, in rounds of its own: bounds how long it waits for what its items cost. */
     private static final long MOST_QUANTA = 64;
 
     /** One that has its turn: items that wait, and its credit. */
@@ -28,15 +28,12 @@
         public void weight(double given) {
             weight = given;
         }
-
-        public int size() {
-            return waiting.size();
-        }
     }
 
     private final long quantum;
     private final ArrayDeque<Flow<T>> ring = new ArrayDeque<>();
     private Flow<T> current;
+    private int waiting;                  // items of all flows
 
     /** The quantum is the cost that a flow of weight 1 may run up in a round. */
     public Rounds(long quantum) {
@@ -45,6 +42,7 @@
 
     public void add(Flow<T> flow, T item) {
         flow.waiting.add(item);
+        waiting++;
         if (!flow.inRing) {
             flow.inRing = true;
             flow.credit = Math.min(flow.credit, 0) + quantum * flow.weight;   // no saving up while idle
@@ -64,6 +62,7 @@
                 ring.add(ring.poll());
             } else {
                 current = flow;
+                waiting--;
                 return flow.waiting.poll();
             }
         }
@@ -77,6 +76,6 @@
     }
 
     public boolean isEmpty() {
-        return ring.stream().allMatch(f -> f.waiting.isEmpty());
+        return waiting == 0;
     }
 }
--- a/core/src/main/java/shelffront/share/Shares.java
+++ b/core/src/main/java/shelffront/share/Shares.java
@@ -53,11 +53,6 @@
             }
         }
 
-        /** Requests that hold a place now. */
-        public int open() {
-            return open;
-        }
-
         private void count(double seconds) {
             double last = asked / seconds;
             // The greater of the last window and the mean: a tenant that grows is not held back by its past.
--- a/gateway/src/main/java/shelffront/cli/Cli.java
+++ b/gateway/src/main/java/shelffront/cli/Cli.java
@@ -55,9 +55,6 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long STOP_SECONDS = 30;
 
-    @Spec
-    private CommandSpec spec;
-
     /** What was asked can't be done; the message is for the one who asked. */
     private static final class Failure extends Exception {
 
--- a/gateway/src/main/java/shelffront/server/Servers.java
+++ b/gateway/src/main/java/shelffront/server/Servers.java
@@ -44,7 +44,6 @@
     private final Listener listener;
     private final Map<String, Host> hosts = new TreeMap<>();
     private final Map<Attempt, Errand> errands = new HashMap<>();
-    private int probes;               // that are out
 
     /** Each connection takes one of the sockets while it is open. */
     public Servers(Network network, Limits limits, Budget sockets, Login login, Listener listener) {
@@ -93,7 +92,6 @@
     public void probe(String member) {
         Errand errand = new Errand(member, hosts.get(member), null, network.loop().now());
         network.counters().add(Counters.Name.PROBES_SENT);
-        probes++;
         errand.endBy = network.loop().after(limits.connectTimeout(), () -> giveUp(errand, Status.TIMEOUT));
         begin(errand);
     }
@@ -127,11 +125,6 @@
         }
     }
 
-    /** Attempts and probes that are not over. */
-    public int outstanding() {
-        return errands.size() + probes;
-    }
-
     private void closeIdle(Host host, CloseReason reason) {
         List.copyOf(host.idle).forEach(c -> c.close(reason));
     }
@@ -266,7 +259,6 @@
             errands.remove(errand.attempt);
             listener.ended(errand.attempt, reply);
         } else {
-            probes--;
             listener.probed(errand.member, reply, network.loop().now() - errand.startedAt);
         }
     }
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -141,7 +141,9 @@
         // What was known of boxes will be old by then; an empty list leaves the module its sessions' marks.
         router.onMembers(loop.now(), ListKind.ALL, heard.revision(), List.of());
         state = State.ASLEEP;
-        stopWatch();
+        if (discovery != null) {
+            discovery.watch(false);
+        }
         servers.closeAll(CloseReason.IDLE);
         if (wake != null) {
             wake.cancel();
@@ -149,12 +151,6 @@
         }
     }
 
-    private void stopWatch() {
-        if (discovery != null) {
-            discovery.watch(false);
-        }
-    }
-
     /** Takes up a changed spec. What only a new module can take up is taken up by one, once this one's work is done. */
     public boolean change(TenantSpec next) {
         if (router != null && !spec.runsLike(next)) {
--- a/gateway/src/main/java/shelffront/tenant/Tenants.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenants.java
@@ -1,6 +1,5 @@
 package shelffront.tenant;
 
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -85,10 +84,6 @@
         return tenant == null ? null : tenant.usage();
     }
 
-    public Collection<Tenant> all() {
-        return List.copyOf(tenants.values());
-    }
-
     /** Whether no request of any tenant is open. */
     public boolean isEmpty() {
         return tenants.values().stream().allMatch(Tenant::isEmpty) && leaving.stream().allMatch(Tenant::isEmpty);
