--- a/core/src/main/java/shelffront/share/Shares.java
+++ b/core/src/main/java/shelffront/share/Shares.java
@@ -3,6 +3,9 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReferenceArray;
+import java.util.stream.DoubleStream;
 
 /**
  * Divides what a gateway can take among its tenants by weight: requests a second, and requests open at a time. Work
@@ -12,6 +15,10 @@
  *
  * <p>Costs nothing for tenants that ask for nothing: figures are counted anew at the first request after a window has
  * passed, and only over those who asked of late. Times are microseconds and never step back.
+ *
+ * <p>Where several turn loops serve tenants, each has its own and all have one {@link Common}: each tells there what its
+ * tenants ask for whenever it divides, counts what the others told as asked for too, and takes its own tenants' parts.
+ * So all come to the same division, one window late at most, and none waits for another.
  */
 public final class Shares {
 
@@ -24,6 +31,41 @@
     /** Part of all places that requests beyond their tenants' own places may fill; the rest is kept for the others. */
     private static final double LENT = 0.75;
 
+    /** Windows after which what another loop told of its demand no longer counts: it tells anew while it is asked. */
+    private static final int STALE = 3;
+
+    /** What one loop's tenants asked for when it last divided. */
+    private record Told(long at, double[] weights, double[] demands) { }
+
+    /** What several loops share. The only part that more than one thread touches; nothing in it waits. */
+    public static final class Common {
+
+        private final double rate;
+        private final int places;
+        private final AtomicInteger open = new AtomicInteger();
+        private final AtomicReferenceArray<Told> told;
+
+        /** So many requests a second, 0 for no such bound, and so many open at a time for all together. */
+        public Common(double rate, int places, int loops) {
+            this.rate = rate;
+            this.places = places;
+            told = new AtomicReferenceArray<>(loops);
+        }
+
+        /** Requests that hold a place now, of all tenants of all loops. */
+        public int open() {
+            return open.get();
+        }
+
+        private boolean take(double most) {
+            int before = open.get();
+            while (before < most && !open.compareAndSet(before, before + 1)) {
+                before = open.get();
+            }
+            return before < most;
+        }
+    }
+
     /** One that shares: a tenant, or a class of one. */
     public final class Share {
 
@@ -62,18 +104,27 @@
         }
     }
 
-    private double rate;
-    private int places;
+    private final Common common;
+    private final int loop;
+    private final double rate;
+    private final int places;
     private final List<Share> asking = new ArrayList<>();
-    private double weights;               // of those who ask
+    private double weights;               // of those who ask here
+    private double elsewhere;             // of those who ask of other loops
     private long windowFrom;
     private boolean dirty;                // a weight has changed: the rate is divided at the next request
-    private int open;
 
-    /** So many requests a second, 0 for no such bound, and so many open at a time for all together. */
+    /** Of the only loop: so many requests a second, 0 for no such bound, and so many open at a time for all together. */
     public Shares(double rate, int places, long now) {
-        this.rate = rate;
-        this.places = places;
+        this(new Common(rate, places, 1), 0, now);
+    }
+
+    /** Of one loop of several, by its number from 0. */
+    public Shares(Common common, int loop, long now) {
+        this.common = common;
+        this.loop = loop;
+        rate = common.rate;
+        places = common.places;
         windowFrom = now;
     }
 
@@ -108,7 +159,8 @@
             weights += share.weight;
             share.idle = 0;
             // Its own part at once: others give it back when the rate is next divided.
-            share.limit.set(rate * share.weight / weights, rate * share.weight / weights * BURST * WINDOW / 1e6, now);
+            double part = rate * share.weight / (weights + elsewhere);
+            share.limit.set(part, part * BURST * WINDOW / 1e6, now);
         }
         if (dirty || now - windowFrom >= WINDOW) {
             dirty = false;
@@ -119,11 +171,9 @@
         if (part != null) {
             part.asked++;
         }
-        if (open >= places || share.open >= own(share) && open >= places * LENT) {
-            return WINDOW;
-        }
+        double most = share.open >= own(share) ? places * LENT : places;
         long wait = Math.max(share.limit.waitTime(now), part == null ? 0 : part.limit.waitTime(now));
-        if (wait > 0) {
+        if (wait > 0 || !common.take(most)) {
             return Math.max(wait, WINDOW);
         }
         share.limit.take();
@@ -131,24 +181,23 @@
             part.limit.take();
         }
         share.open++;
-        open++;
         return 0;
     }
 
     /** Places that are a tenant's own; one that asks alone leaves some all the same, for whoever comes next. */
     private double own(Share share) {
-        return Math.max(1, Math.min(places * LENT, Math.floor(places * share.weight / weights)));
+        return Math.max(1, Math.min(places * LENT, Math.floor(places * share.weight / (weights + elsewhere))));
     }
 
     /** The request has had its answer. */
     public void end(Share share) {
         share.open--;
-        open--;
+        common.open.decrementAndGet();
     }
 
-    /** Requests that hold a place now, of all tenants. */
+    /** Requests that hold a place now, of all tenants of all loops. */
     public int open() {
-        return open;
+        return common.open();
     }
 
     private void divide(long now) {
@@ -162,27 +211,39 @@
             return forgotten;
         });
         weights = asking.stream().mapToDouble(s -> s.weight).sum();
+        common.told.set(loop, new Told(now, asking.stream().mapToDouble(s -> s.weight).toArray(),
+                asking.stream().mapToDouble(s -> s.demand).toArray()));
+        List<Told> others = new ArrayList<>();
+        for (int i = 0; i < common.told.length(); i++) {
+            Told t = common.told.get(i);
+            if (i != loop && t != null && now - t.at < STALE * WINDOW) {
+                others.add(t);
+            }
+        }
+        elsewhere = others.stream().flatMapToDouble(t -> Arrays.stream(t.weights)).sum();
         if (rate > 0) {
-            grant(rate, asking, now);
+            grant(rate, asking, others, now);
             for (Share s : asking) {
                 if (s.parts.length > 0) {
                     for (Share part : s.parts) {
                         part.count(seconds);
                     }
-                    grant(s.limit.perSecond(), Arrays.asList(s.parts), now);
+                    grant(s.limit.perSecond(), Arrays.asList(s.parts), List.of(), now);
                 }
             }
         }
     }
 
     /** Divides a rate; what nobody asks for is lent by weight, so that a burst finds it. */
-    private static void grant(double rate, List<Share> among, long now) {
-        double[] weight = among.stream().mapToDouble(s -> s.weight).toArray();
-        double[] wanted = among.stream().mapToDouble(s -> s.demand).toArray();
+    private static void grant(double rate, List<Share> among, List<Told> others, long now) {
+        double[] weight = DoubleStream.concat(among.stream().mapToDouble(s -> s.weight),
+                others.stream().flatMapToDouble(t -> Arrays.stream(t.weights))).toArray();
+        double[] wanted = DoubleStream.concat(among.stream().mapToDouble(s -> s.demand),
+                others.stream().flatMapToDouble(t -> Arrays.stream(t.demands))).toArray();
         double[] parts = WaterFill.divide(rate, weight, wanted);
         double spare = rate - Arrays.stream(parts).sum();
         double all = Arrays.stream(weight).sum();
-        for (int i = 0; i < parts.length; i++) {
+        for (int i = 0; i < among.size(); i++) {
             // Its own part is free to it at any time, lent or not: who borrowed it has less after this window.
             double part = Math.max(rate * weight[i] / all, parts[i] + spare * weight[i] / all);
             among.get(i).limit.set(part, part * BURST * WINDOW / 1e6, now);
--- a/core/src/test/java/shelffront/share/SharesTest.java
+++ b/core/src/test/java/shelffront/share/SharesTest.java
@@ -136,4 +136,73 @@
         run(new Shares.Share[] {a}, new double[] {5000}, 3 * SECOND);
         assertEquals(1000, run(new Shares.Share[] {a}, new double[] {5000}, SECOND)[0], 30);
     }
+
+    /** Tenants of two loops that all flood: together no more than the rate, and each by its weight. */
+    @Test
+    void tenantsOfSeveralLoopsHaveTheirWeightsOfTheWhole() {
+        Shares.Common common = new Shares.Common(1000, 100, 2);
+        Shares[] loops = {new Shares(common, 0, now), new Shares(common, 1, now)};
+        Shares.Share[] who = {loops[0].join(1, null), loops[1].join(1, null), loops[1].join(2, null)};
+        int[] on = {0, 1, 1};
+        double[] got = acrossLoops(loops, who, on, new double[] {4000, 4000, 4000}, SECOND);
+        got = acrossLoops(loops, who, on, new double[] {4000, 4000, 4000}, 2 * SECOND);
+        assertEquals(250, got[0], 15);
+        assertEquals(250, got[1], 15);
+        assertEquals(500, got[2], 30);
+        assertEquals(0, common.open(), "places");
+    }
+
+    /** What one loop's tenants leave idle the other's use, and give back within two windows. */
+    @Test
+    void whatOneLoopLeavesIdleTheOtherUses() {
+        Shares.Common common = new Shares.Common(1000, 100, 2);
+        Shares[] loops = {new Shares(common, 0, now), new Shares(common, 1, now)};
+        Shares.Share[] who = {loops[0].join(1, null), loops[1].join(1, null)};
+        int[] on = {0, 1};
+        acrossLoops(loops, who, on, new double[] {100, 4000}, SECOND);
+        double[] got = acrossLoops(loops, who, on, new double[] {100, 4000}, SECOND);
+        assertEquals(100, got[0], 4);
+        assertEquals(900, got[1], 45);
+        acrossLoops(loops, who, on, new double[] {4000, 4000}, 2 * Shares.WINDOW);
+        got = acrossLoops(loops, who, on, new double[] {4000, 4000}, SECOND);
+        assertEquals(500, got[0], 25);
+        assertEquals(500, got[1], 25);
+    }
+
+    /** A loop whose tenants are no longer asked keeps nothing of the rate for them. */
+    @Test
+    void aLoopThatFallsSilentHoldsNothingBack() {
+        Shares.Common common = new Shares.Common(1000, 100, 2);
+        Shares[] loops = {new Shares(common, 0, now), new Shares(common, 1, now)};
+        Shares.Share[] who = {loops[0].join(1, null), loops[1].join(1, null)};
+        int[] on = {0, 1};
+        acrossLoops(loops, who, on, new double[] {4000, 4000}, SECOND);
+        acrossLoops(loops, who, on, new double[] {0, 4000}, 5 * Shares.WINDOW);
+        assertEquals(1000, acrossLoops(loops, who, on, new double[] {0, 4000}, SECOND)[1], 50);
+    }
+
+    private double[] acrossLoops(Shares[] loops, Shares.Share[] who, int[] on, double[] rates, long time) {
+        double[] admitted = new double[who.length];
+        double[] due = new double[who.length];
+        ArrayDeque<long[]> out = new ArrayDeque<>();
+        for (long end = now + time; now < end; now += 100) {
+            while (!out.isEmpty() && out.peek()[0] <= now) {
+                int i = (int) out.poll()[1];
+                loops[on[i]].end(who[i]);
+            }
+            for (int i = 0; i < who.length; i++) {
+                for (due[i] += rates[i] / 1e4; due[i] >= 1; due[i]--) {
+                    if (loops[on[i]].admit(who[i], 0, now) == 0) {
+                        admitted[i]++;
+                        out.add(new long[] {now + TOOK, i});
+                    }
+                }
+            }
+        }
+        out.forEach(o -> loops[on[(int) o[1]]].end(who[(int) o[1]]));
+        for (int i = 0; i < who.length; i++) {
+            admitted[i] *= 1e6 / time;
+        }
+        return admitted;
+    }
 }
--- a/gateway/src/main/java/shelffront/admin/AdminServer.java
+++ b/gateway/src/main/java/shelffront/admin/AdminServer.java
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -40,6 +41,7 @@
     private static final int THREADS = 24;
     private static final int WAITING = 64;
     private static final int MOST_POLLS = 16;
+    private static final int MOST_POLLS_OF_ONE = 4;
     private static final long LONGEST_POLL_MS = 60_000;
     private static final int MOST_ANSWERS_KEPT = 1000;
     private static final long LONGEST_OVERLAP_MS = 30L * 24 * 3600 * 1000;
@@ -64,6 +66,7 @@
     private final Tokens tokens;
     private final Log log;
     private final Semaphore polls = new Semaphore(MOST_POLLS);
+    private final Map<String, Integer> pollsOf = new ConcurrentHashMap<>();   // those that wait, by token
     private final Map<String, Kept> kept = new LinkedHashMap<>();
 
     public AdminServer(InetSocketAddress listen, Store store, Tenancy tenancy, Tokens tokens, Log log)
@@ -286,9 +289,43 @@
             return Answer.of(200, SpecJson.JSON.createObjectNode().put("id", parts[5])
                     .put("drained", method.equals("POST")).put("revision", revision));
         }
+        if (parts[4].equals("keys") && parts.length <= 6) {
+            return keys(entry, caller, method, parts, body);
+        }
         throw Problem.notFound();
     }
 
+    /** Clients' keys: listed by their names, made here and shown once, ended. */
+    private Answer keys(Entry entry, Caller caller, String method, String[] parts, byte[] body)
+            throws Problem, SpecException, ConflictException {
+        if (parts.length == 6) {
+            only(method, "DELETE");
+            long revision = tenancy.endKey(entry.name(), parts[5], caller.token());
+            if (revision == 0) {
+                throw Problem.notFound();
+            }
+            return Answer.of(200, SpecJson.JSON.createObjectNode().put("id", parts[5]).put("revision", revision));
+        }
+        if (method.equals("POST")) {
+            JsonNode user = SpecJson.parse(body).path("user");
+            if (!user.isTextual() || user.asText().isEmpty() || user.asText().length() > 63) {
+                throw new Problem(422, "Not a valid document", "a user of 1 to 63 characters is needed", "/user", null);
+            }
+            Tenancy.NewKey made = tenancy.newKey(entry.name(), user.asText(), caller.token());
+            if (made == null) {
+                throw Problem.notFound();
+            }
+            return Answer.of(201, SpecJson.JSON.createObjectNode().put("id", made.id()).put("user", user.asText())
+                    .put("key", made.key()).put("revision", made.revision()));
+        }
+        only(method, "GET");
+        ObjectNode answer = SpecJson.JSON.createObjectNode().put("revision", entry.revision());
+        ArrayNode list = answer.putArray("keys");
+        entry.document().path("credentials").forEach(c -> list.addObject()
+                .put("id", Tenancy.keyId(c.path("sha256").asText())).put("user", c.path("user").asText()));
+        return Answer.of(200, answer);
+    }
+
     /** The revision that If-Match names; 0 by "If-None-Match: *" for one that is to be new. */
     private static long expected(HttpExchange exchange, Entry entry) throws Problem {
         String match = exchange.getRequestHeaders().getFirst("If-Match");
@@ -383,8 +420,11 @@
         }
         long millis = wait.endsWith("ms") ? Long.parseLong(wait.substring(0, wait.length() - 2))
                 : 1000 * Long.parseLong(wait.substring(0, wait.length() - 1));
-        if (!polls.tryAcquire()) {
-            throw new Problem(429, "Too many polls", "at most " + MOST_POLLS + " may wait at a time");
+        boolean mayWait = pollsOf.merge(caller.token(), 1, Integer::sum) <= MOST_POLLS_OF_ONE;
+        if (!mayWait || !polls.tryAcquire()) {
+            pollEnds(caller);
+            throw new Problem(429, "Too many polls", "at most " + MOST_POLLS_OF_ONE + " of one token may wait at a time,"
+                    + " and " + MOST_POLLS + " of all");
         }
         try {
             ObjectNode answer = SpecJson.JSON.createObjectNode();
@@ -400,9 +440,14 @@
             return Answer.of(200, answer);
         } finally {
             polls.release();
+            pollEnds(caller);
         }
     }
 
+    private void pollEnds(Caller caller) {
+        pollsOf.computeIfPresent(caller.token(), (token, count) -> count == 1 ? null : count - 1);
+    }
+
     private Answer token(Caller caller, String method, String[] parts, byte[] body)
             throws Problem, SpecException, ConflictException {
         operator(caller);
--- a/gateway/src/main/java/shelffront/admin/Tenancy.java
+++ b/gateway/src/main/java/shelffront/admin/Tenancy.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
@@ -15,6 +17,7 @@
 import shelffront.store.Store.ConflictException;
 import shelffront.store.Store.Entry;
 import shelffront.store.Store.Kind;
+import shelffront.tenant.Keys;
 import shelffront.tenant.SpecJson;
 import shelffront.tenant.SpecJson.SpecException;
 import shelffront.tenant.Tenant;
@@ -111,6 +114,54 @@
         }
     }
 
+    /** A key that has been made: the answer is the only place it is in. */
+    public record NewKey(String id, String key, long revision) { }
+
+    /** Makes a key for a user of a tenant; those that the user has stay. Null where there is no such tenant. */
+    public NewKey newKey(String tenant, String user, String who) throws SpecException, ConflictException {
+        synchronized (this) {
+            Entry entry = get(tenant);
+            if (entry == null) {
+                return null;
+            }
+            String key = Keys.generate();
+            String hash = HexFormat.of().formatHex(Keys.hash(key));
+            ObjectNode next = entry.document().deepCopy();
+            next.withArray("/credentials").addObject().put("user", user).put("sha256", hash);
+            String id = keyId(hash);
+            return new NewKey(id, key, put(tenant, entry.revision(), next, who, "new key " + id));
+        }
+    }
+
+    /** Ends a key; gives the tenant's revision, 0 where there is no such tenant or key. */
+    public long endKey(String tenant, String key, String who) throws SpecException, ConflictException {
+        synchronized (this) {
+            Entry entry = get(tenant);
+            ObjectNode next = entry == null ? null : entry.document().deepCopy();
+            ArrayNode kept = SpecJson.JSON.createArrayNode();
+            JsonNode before = next == null ? kept : next.path("credentials");
+            for (JsonNode c : before) {
+                if (!keyId(c.path("sha256").asText()).equals(key)) {
+                    kept.add(c);
+                }
+            }
+            if (kept.size() == before.size()) {
+                return 0;
+            }
+            // Without any credential a tenant admits everybody: the last key's end must not open it.
+            if (kept.isEmpty()) {
+                throw new SpecException("/credentials", "the last key can't be ended: without one everybody is let in");
+            }
+            next.set("credentials", kept);
+            return put(tenant, entry.revision(), next, who, "end key " + key);
+        }
+    }
+
+    /** By which a key is named: the beginning of its hash, which tells nothing of the key. */
+    static String keyId(String sha256) {
+        return sha256.substring(0, 12).toLowerCase(Locale.ROOT);
+    }
+
     public CompletableFuture<Tenant.Usage> usage(String id) {
         return control.usage(id);
     }
--- a/gateway/src/main/java/shelffront/cli/Cli.java
+++ b/gateway/src/main/java/shelffront/cli/Cli.java
@@ -48,7 +48,7 @@
         description = "A gateway that routes reads and writes of replicated databases.",
         subcommands = {Cli.Serve.class, Cli.Benchlink.class, Cli.Rehearse.class, Cli.Config.class,
             Cli.TenantCommand.class,
-            Cli.TokenCommand.class, Cli.StoreCommand.class,
+            Cli.TokenCommand.class, Cli.KeyCommand.class, Cli.StoreCommand.class,
             GenerateCompletion.class})
 public final class Cli {
 
@@ -293,6 +293,38 @@
         }
     }
 
+    /** Clients' keys of a tenant of a running gateway. */
+    @Command(name = "key", mixinStandardHelpOptions = true, description = "Makes, lists and ends clients' keys.")
+    static final class KeyCommand {
+
+        @CommandLine.Mixin
+        private Remote remote;
+
+        @Command(name = "new", description = "Makes a key for a user and writes it; it is shown once.")
+        int create(@Parameters(paramLabel = "TENANT") String tenant, @Parameters(paramLabel = "USER") String user)
+                throws Failure {
+            JsonNode asked = JSON.createObjectNode().put("user", user);
+            JsonNode made = remote.call("POST", "/v1/tenants/" + tenant + "/keys", asked.toString());
+            System.out.println(made.path("id").asText() + " " + made.path("key").asText());
+            return 0;
+        }
+
+        @Command(name = "list", description = "Names a tenant's keys and whose they are.")
+        int list(@Parameters(paramLabel = "TENANT") String tenant) throws Failure {
+            for (JsonNode k : remote.call("GET", "/v1/tenants/" + tenant + "/keys", null).path("keys")) {
+                System.out.println(k.path("id").asText() + " " + k.path("user").asText());
+            }
+            return 0;
+        }
+
+        @Command(name = "end", description = "Ends a key; the last one of a tenant stays.")
+        int end(@Parameters(paramLabel = "TENANT") String tenant, @Parameters(paramLabel = "ID") String id)
+                throws Failure {
+            remote.call("DELETE", "/v1/tenants/" + tenant + "/keys/" + id, null);
+            return 0;
+        }
+    }
+
     /** The store of a gateway that does not run. */
     @Command(name = "store", mixinStandardHelpOptions = true,
             description = "Exports and imports the store of a gateway that does not run.")
--- a/gateway/src/main/java/shelffront/client/ClientConnection.java
+++ b/gateway/src/main/java/shelffront/client/ClientConnection.java
@@ -37,13 +37,16 @@
      */
     private record Command(Message message, long arrival, ProtocolException failure, CloseReason reason) { }
 
-    private final Clients clients;
+    private Clients clients;
+    private Clients home;             // where its tenant lives, once it has named one
+    private final Clients cameIn;           // whose place it holds; others than clients where it has moved
     private final ArrayDeque<Command> waiting = new ArrayDeque<>();
     private final long openedAt;
     private Map<String, String> startup = Map.of();
     private boolean asksPassword;     // the next message is one
     private Clients.Taker taker;      // who serves it, once that is known
     private boolean started;
+    private boolean named;            // the startup message has come, and it is where its tenant lives
     private boolean asked;            // a whole command has come
     private boolean half;             // part of a command has come
     private boolean skipToSync;
@@ -56,6 +59,7 @@
     ClientConnection(Clients clients, AsynchronousSocketChannel channel) {
         super(clients.network, "client", channel, Message.GREATEST);
         this.clients = clients;
+        cameIn = clients;
         openedAt = now();
         limit = clients.network.loop().at(openedAt + FIRST_COMMAND_TIME, () -> close(CloseReason.STARTUP_TIMEOUT));
         start();
@@ -143,6 +147,9 @@
         if (asksPassword) {
             return password(bytes);
         }
+        if (named) {
+            return admitted();
+        }
         Message message = Message.nextStartup(bytes);
         if (message == null || isClosed()) {
             return false;
@@ -158,15 +165,40 @@
                     throw new ProtocolException("0A000", "only version 3 of the protocol is spoken here");
                 }
                 startup = message.startupParameters();
-                asksPassword = clients.door.asksPassword(startup);
-                if (asksPassword) {
-                    write(Message.askPassword());
-                } else {
-                    welcome(clients.door.admit(startup));
+                home = clients.door.home(startup, clients);
+                named = true;
+                if (home == clients) {
+                    return admitted();
                 }
+                moveTo(home.network, this::arrive);
+                return false;
             }
         }
-        return !started;
+        return true;
+    }
+
+    private boolean admitted() throws ProtocolException {
+        asksPassword = clients.door.asksPassword(startup);
+        if (asksPassword) {
+            write(Message.askPassword());
+            return true;
+        }
+        welcome(clients.door.admit(startup));
+        return false;
+    }
+
+    @Override
+    protected void leaving() {
+        limit.cancel();
+        clients.leaves(this, home);
+    }
+
+    /** On the loop where its tenant lives; until here nobody else had it. */
+    private void arrive() {
+        clients = home;
+        clients.arrives(this);
+        limit = network.loop().at(openedAt + FIRST_COMMAND_TIME, () -> close(CloseReason.STARTUP_TIMEOUT));
+        resume();
     }
 
     private boolean password(ByteBuffer bytes) throws ProtocolException {
@@ -360,6 +392,10 @@
             taker.parted(this);
         }
         clients.ended(this);
+        if (cameIn != clients) {
+            Clients there = clients;
+            cameIn.network.loop().post(() -> cameIn.endedAway(startup, there));
+        }
     }
 
     @Override
--- a/gateway/src/main/java/shelffront/client/Clients.java
+++ b/gateway/src/main/java/shelffront/client/Clients.java
@@ -6,6 +6,7 @@
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,14 @@
     /** Finds who serves a client. */
     public interface Door {
 
+        /** Who serves a client on the loop where its tenant lives; by default those where it came in. */
+        default Clients home(Map<String, String> startup, Clients here) {
+            return here;
+        }
+
+        /** A connection that {@link #home} sent elsewhere has ended there. */
+        default void ended(Map<String, String> startup, Clients there) { }
+
         /** By the parameters of its startup message; throws where nobody does, with what the client is told. */
         Taker admit(Map<String, String> startup) throws ProtocolException;
 
@@ -73,8 +82,10 @@
     final Network network;
     final Door door;
     private final int mostConnections;
-    private final AsynchronousServerSocketChannel listener;
+    private final AsynchronousServerSocketChannel listener;    // null where they come from another loop's
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    /** Those that came in here and live on another loop now, by whose they are there. */
+    private final Map<Clients, Integer> away = new LinkedHashMap<>();
     private boolean full;
     private boolean draining;
 
@@ -85,6 +96,14 @@
         listener = AsynchronousServerSocketChannel.open(network.group()).bind(listen, BACKLOG);
     }
 
+    /** Those of a loop without a listener: they come from one that has. */
+    public Clients(Network network, Door door) {
+        this.network = network;
+        this.door = door;
+        mostConnections = Integer.MAX_VALUE;
+        listener = null;
+    }
+
     public SocketAddress address() throws IOException {
         return listener.getLocalAddress();
     }
@@ -106,7 +125,7 @@
     private void accepted(AsynchronousSocketChannel channel) {
         network.counters().add(Counters.Name.CLIENTS_ACCEPTED);
         connections.add(new ClientConnection(this, channel));
-        if (connections.size() < mostConnections || evict()) {
+        if (connections.size() + awayCount() < mostConnections || evict()) {
             accept();
         } else {
             full = true;            // the rest wait in the backlog until one ends
@@ -136,10 +155,40 @@
         }
         if (victim != null) {
             victim.close(CloseReason.EVICTED);
+        } else {
+            // Whoever has most elsewhere is asked for one; a place is free here once it says that one has ended.
+            away.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey)
+                    .ifPresent(c -> c.network.loop().post(c::evict));
         }
         return victim != null;
     }
 
+    private int awayCount() {
+        int count = 0;
+        for (int each : away.values()) {
+            count += each;
+        }
+        return count;
+    }
+
+    /** A connection leaves for another loop's clients; its place here stays taken until it ends there. */
+    void leaves(ClientConnection connection, Clients to) {
+        connections.remove(connection);
+        away.merge(to, 1, Integer::sum);
+    }
+
+    /** A connection that came in elsewhere lives here from now on. */
+    void arrives(ClientConnection connection) {
+        connections.add(connection);
+    }
+
+    /** One that came in here has ended with another loop's clients. */
+    void endedAway(Map<String, String> startup, Clients there) {
+        door.ended(startup, there);
+        away.merge(there, -1, (a, b) -> a + b == 0 ? null : a + b);
+        makeRoom();
+    }
+
     /** Keeps the connections in the order of their last use. */
     void used(ClientConnection connection) {
         if (connections.remove(connection)) {
@@ -156,6 +205,10 @@
 
     void ended(ClientConnection connection) {
         connections.remove(connection);
+        makeRoom();
+    }
+
+    private void makeRoom() {
         if (full && !draining) {
             full = false;
             accept();
@@ -170,12 +223,14 @@
 
     /** Whether no connection has anything left to answer. */
     public boolean isEmpty() {
-        return connections.isEmpty();
+        return connections.isEmpty() && away.isEmpty();
     }
 
     public void close() {
         try {
-            listener.close();
+            if (listener != null) {
+                listener.close();
+            }
         } catch (IOException e) {
             network.log().println("close listener failed: " + e.getMessage());
         }
--- a/gateway/src/main/java/shelffront/gateway/Gateway.java
+++ b/gateway/src/main/java/shelffront/gateway/Gateway.java
@@ -9,14 +9,13 @@
 import java.util.function.BooleanSupplier;
 import shelffront.client.Clients;
 import shelffront.config.GatewayConfig;
-import shelffront.net.Budget;
 import shelffront.net.CloseReason;
 import shelffront.net.Network;
 import shelffront.net.TurnLoop;
 import shelffront.server.Servers.Login;
+import shelffront.share.Holdings;
 import shelffront.tenant.Tenant;
 import shelffront.tenant.TenantSpec;
-import shelffront.tenant.Tenants;
 
 /** A listener with the tenants behind it: the single one of the platform's file, or many. */
 public final class Gateway {
@@ -39,7 +38,8 @@
     public Gateway(Network network, GatewayConfig config) throws IOException {
         this.network = network;
         loop = network.loop();
-        single = new Tenant(network, only(config), config.seed(), new Budget(hostSockets(config.sockets())), null);
+        single = new Tenant(network, only(config), config.seed(), new Holdings(hostSockets(config.sockets())),
+                null);
         clients = new Clients(network, config.listen(), clientSockets(config.sockets()), new Clients.Door() {
             @Override
             public Clients.Taker admit(Map<String, String> startup) {
@@ -60,14 +60,20 @@
         closing = () -> single.close(CloseReason.DRAINED);
     }
 
-    /** Many tenants, each by its name. */
-    public Gateway(Network network, InetSocketAddress listen, int sockets, Tenants tenants) throws IOException {
+    /**
+     * Many tenants behind a door.
+     *
+     * @param drained asked while it drains, until it says that nothing is open behind the door
+     * @param closing closes all that is behind the door
+     */
+    public Gateway(Network network, InetSocketAddress listen, int sockets, Clients.Door door, BooleanSupplier drained,
+            Runnable closing) throws IOException {
         this.network = network;
+        this.closing = closing;
         loop = network.loop();
         single = null;
-        clients = new Clients(network, listen, clientSockets(sockets), tenants);
-        idle = tenants::isEmpty;
-        closing = () -> tenants.close(CloseReason.DRAINED);
+        clients = new Clients(network, listen, clientSockets(sockets), door);
+        idle = drained;
     }
 
     /** Of so many descriptors, those for connections to hosts. */
@@ -86,6 +92,11 @@
                 config.discovery(), config.known(), Set.of(), List.of(), 0);
     }
 
+    /** The listener's clients: those who have not named a tenant that lives on another loop. */
+    public Clients clients() {
+        return clients;
+    }
+
     public SocketAddress address() throws IOException {
         return clients.address();
     }
--- a/gateway/src/main/java/shelffront/hosted/Hosted.java
+++ b/gateway/src/main/java/shelffront/hosted/Hosted.java
@@ -3,34 +3,29 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.time.Instant;
-import java.time.temporal.ChronoUnit;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
 import shelffront.admin.AdminServer;
 import shelffront.admin.Tenancy;
 import shelffront.admin.Tokens;
 import shelffront.gateway.Gateway;
-import shelffront.net.Budget;
 import shelffront.net.Counters;
 import shelffront.net.Log;
 import shelffront.net.Network;
 import shelffront.net.TurnLoop;
-import shelffront.share.Shares;
 import shelffront.store.Store;
 import shelffront.store.Store.ConflictException;
 import shelffront.store.Store.Kind;
 import shelffront.tenant.SpecJson.SpecException;
 import shelffront.tenant.Tenant;
 import shelffront.tenant.TenantSpec;
-import shelffront.tenant.Tenants;
 
 /** A gateway for many tenants with its store and its administration, as {@code serve --config} starts it. */
 public final class Hosted implements Tenancy.Control {
 
     private final Network network;
     private final TurnLoop loop;
-    private final Tenants tenants;
+    private final Lanes lanes;
     private final Gateway gateway;
     private final Store store;
     private final Tokens tokens;
@@ -38,19 +33,17 @@
     private final AdminServer admin;
 
     public Hosted(HostedConfig config, Log log) throws IOException, SpecException {
-        Counters counters = new Counters();
-        loop = new TurnLoop(() -> ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()), counters);
-        network = Network.open(loop, new Budget(config.bufferBytes()), counters, log);
+        lanes = new Lanes(config, log);
+        network = lanes.front();
+        loop = network.loop();
         store = config.store() == null ? Store.inMemory() : Store.open(config.store());
         try {
-            Shares shares = new Shares(config.requestsPerSecond(), config.openRequests(), loop.now());
-            tenants = new Tenants(network, shares, new Budget(Gateway.hostSockets(config.sockets())),
-                    System.nanoTime());
             tokens = new Tokens(store, System::currentTimeMillis);
             tenancy = new Tenancy(store, this, System::currentTimeMillis);
+            gateway = new Gateway(network, config.listen(), config.sockets(), lanes, lanes::isDrained, lanes::close);
+            lanes.behind(gateway.clients());
             tenancy.start();
             seed(config);
-            gateway = new Gateway(network, config.listen(), config.sockets(), tenants);
             admin = config.admin() == null ? null : new AdminServer(config.admin(), store, tenancy, tokens, log);
         } catch (ConflictException e) {
             store.close();
@@ -79,13 +72,14 @@
         if (admin != null) {
             admin.start();
         }
+        lanes.start();
         gateway.start();
         loop.run();
+        lanes.join();
         if (admin != null) {
             admin.close();
         }
         store.close();
-        network.group().shutdown();
     }
 
     /** Runs on a thread of its own, which ends with {@link #drain}. */
@@ -127,25 +121,30 @@
     public record Held(int deadlines, long bufferBytes, Counters counters) { }
 
     public CompletableFuture<Held> held() {
-        CompletableFuture<Held> held = new CompletableFuture<>();
-        loop.post(() -> held.complete(new Held(loop.deadlines(), network.budget().held(), network.counters())));
-        return held;
+        return lanes.held();
+    }
+
+    /** The turn loop that a tenant lives on, by its number from 0; -1 where there is none of that name. */
+    public CompletableFuture<Integer> lane(String id) {
+        CompletableFuture<Integer> lane = new CompletableFuture<>();
+        loop.post(() -> lane.complete(lanes.lane(id)));
+        return lane;
     }
 
     @Override
     public void apply(TenantSpec spec, LongConsumer inForce) {
-        loop.post(() -> tenants.apply(spec, inForce));
+        loop.post(() -> lanes.apply(spec, inForce));
     }
 
     @Override
     public void remove(String id, LongConsumer gone) {
-        loop.post(() -> tenants.remove(id, gone));
+        loop.post(() -> lanes.remove(id, gone));
     }
 
     @Override
     public CompletableFuture<Tenant.Usage> usage(String id) {
         CompletableFuture<Tenant.Usage> usage = new CompletableFuture<>();
-        loop.post(() -> usage.complete(tenants.usage(id)));
+        loop.post(() -> lanes.usage(id, usage::complete));
         return usage;
     }
 }
--- a/gateway/src/main/java/shelffront/hosted/HostedConfig.java
+++ b/gateway/src/main/java/shelffront/hosted/HostedConfig.java
@@ -17,16 +17,17 @@
  *
  * @param admin where administrators connect; null for no administration
  * @param store the file that keeps what they set; null to keep it in memory only
+ * @param cores turn loops, each with a thread; every tenant lives on one of them
  * @param sockets descriptors that it may use
  * @param bufferBytes for all connections and requests together
  * @param requestsPerSecond what it can take, divided among the tenants by weight; 0 is no bound
  * @param openRequests places for open requests, divided likewise
  * @param tenants put into the store at the start where it has none of that name
  */
-public record HostedConfig(InetSocketAddress listen, InetSocketAddress admin, Path store, int sockets,
+public record HostedConfig(InetSocketAddress listen, InetSocketAddress admin, Path store, int cores, int sockets,
         long bufferBytes, double requestsPerSecond, int openRequests, List<JsonNode> tenants) {
 
-    private static final Set<String> NAMES = Set.of("listen", "admin", "store", "sockets", "bufferBytes", "capacity",
+    private static final Set<String> NAMES = Set.of("listen", "admin", "store", "cores", "sockets", "bufferBytes", "capacity",
             "tenants");
     private static final Set<String> CAPACITY_NAMES = Set.of("requestsPerSecond", "openRequests");
 
@@ -58,7 +59,7 @@
         }
         return new HostedConfig(address(top, "listen"), top.has("admin") ? address(top, "admin") : null,
                 top.has("store") ? Path.of(top.path("store").asText()) : null,
-                (int) number(top, "", "sockets", 64, 1_000_000, 1024),
+                (int) number(top, "", "cores", 1, 64, 1), (int) number(top, "", "sockets", 64, 1_000_000, 1024),
                 (long) number(top, "", "bufferBytes", 1 << 20, 1L << 40, 64L << 20),
                 number(capacity, "/capacity", "requestsPerSecond", 0, 1e7, 0),
                 (int) number(capacity, "/capacity", "openRequests", 1, 1e7, 2000), List.copyOf(tenants));
--- /dev/null
+++ b/gateway/src/main/java/shelffront/hosted/Lanes.java
@@ -0,0 +1,287 @@
+package shelffront.hosted;
+
+import java.io.IOException;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import shelffront.client.Clients;
+import shelffront.gateway.Gateway;
+import shelffront.net.Budget;
+import shelffront.net.CloseReason;
+import shelffront.net.Counters;
+import shelffront.net.Log;
+import shelffront.net.Network;
+import shelffront.net.TurnLoop;
+import shelffront.pg.ProtocolException;
+import shelffront.share.Holdings;
+import shelffront.share.Placement;
+import shelffront.share.Shares;
+import shelffront.tenant.Tenant;
+import shelffront.tenant.TenantSpec;
+import shelffront.tenant.Tenants;
+
+/**
+ * The turn loops of a hosted gateway. The first has the listener and knows where each tenant lives; a connection is
+ * handed over once it has named its tenant. A tenant's connections, requests, module and timers are all on its own
+ * loop, and no loop waits for another: they post to each other.
+ *
+ * <p>A tenant that wakes, with no client anywhere, may be given another home. There a new module serves it, and until
+ * the one before has ended its work, and for what was written before, reads must be covered.
+ *
+ * <p>Methods run on the first loop's thread unless they say otherwise.
+ */
+final class Lanes implements Clients.Door {
+
+    private record Lane(Network network, Tenants tenants) { }
+
+    /** Where a tenant lives. */
+    private static final class Home {
+
+        private TenantSpec spec;
+        private int lane;
+        private int clients;              // connections handed over and not ended there
+
+        private Home(TenantSpec spec, int lane) {
+            this.spec = spec;
+            this.lane = lane;
+        }
+    }
+
+    private final List<Lane> lanes = new ArrayList<>();
+    private final List<Clients> clients = new ArrayList<>();
+    private final List<Thread> threads = new ArrayList<>();
+    private final Map<String, Home> homes = new HashMap<>();
+    private final Placement placement;
+    private final Network front;
+    private final boolean[] drained;
+
+    Lanes(HostedConfig config, Log log) throws IOException {
+        Shares.Common shares = new Shares.Common(config.requestsPerSecond(), config.openRequests(), config.cores());
+        Budget buffers = new Budget(config.bufferBytes());
+        Holdings hostSockets = new Holdings(Gateway.hostSockets(config.sockets()));
+        drained = new boolean[config.cores()];
+        long seed = System.nanoTime();
+        for (int i = 0; i < config.cores(); i++) {
+            Counters counters = new Counters();
+            TurnLoop loop = new TurnLoop(() -> ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()), counters);
+            Network network = Network.open(loop, buffers, counters, log);
+            Tenants tenants = new Tenants(network, new Shares(shares, i, loop.now()), hostSockets, seed + (long) i << 20);
+            lanes.add(new Lane(network, tenants));
+        }
+        Network first = lanes.get(0).network();
+        placement = new Placement(lanes.size(), first.loop().now());
+        front = lanes.size() == 1 ? first : first.withThreads(lanes.size());
+    }
+
+    /** The first loop, as the listener sees it. */
+    Network front() {
+        return front;
+    }
+
+    /** The listener's clients are those of the first loop. */
+    void behind(Clients listening) {
+        clients.add(listening);
+        for (Lane lane : lanes.subList(1, lanes.size())) {
+            clients.add(new Clients(lane.network(), lane.tenants()));
+        }
+    }
+
+    /** Starts the loops but the first, which its caller runs. */
+    void start() {
+        for (int i = 1; i < lanes.size(); i++) {
+            TurnLoop loop = lanes.get(i).network().loop();
+            Thread thread = new Thread(() -> {
+                try {
+                    loop.run();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }, "turns-" + i);
+            thread.start();
+            threads.add(thread);
+        }
+    }
+
+    /** Waits until the others have ended, and ends their channels' threads; by whoever ran the first loop. */
+    void join() throws InterruptedException {
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        lanes.forEach(l -> l.network().group().shutdown());
+        front.group().shutdown();
+    }
+
+    private TurnLoop loop(int lane) {
+        return lanes.get(lane).network().loop();
+    }
+
+    // ---- Tenants ----------------------------------------------------------------------------------------------
+
+    void apply(TenantSpec spec, LongConsumer inForce) {
+        Home home = homes.get(spec.id());
+        if (home == null) {
+            home = new Home(spec, placement.home(spec.weight()));
+            homes.put(spec.id(), home);
+        }
+        home.spec = spec;
+        Tenants there = lanes.get(home.lane).tenants();
+        on(home.lane, () -> there.apply(spec, inForce));
+    }
+
+    void remove(String id, LongConsumer gone) {
+        Home home = homes.remove(id);
+        if (home == null) {
+            gone.accept(front.loop().now());
+            return;
+        }
+        placement.left(home.lane, home.spec.weight());
+        Tenants there = lanes.get(home.lane).tenants();
+        on(home.lane, () -> there.remove(id, gone));
+    }
+
+    /** Null is told where there is none of that name. */
+    void usage(String id, Consumer<Tenant.Usage> told) {
+        Home home = homes.get(id);
+        if (home == null) {
+            told.accept(null);
+            return;
+        }
+        Tenants there = lanes.get(home.lane).tenants();
+        on(home.lane, () -> told.accept(there.usage(id)));
+    }
+
+    int lane(String id) {
+        Home home = homes.get(id);
+        return home == null ? -1 : home.lane;
+    }
+
+    /** At once on this loop, or as a turn of another. */
+    private void on(int lane, Runnable task) {
+        if (lane == 0) {
+            task.run();
+        } else {
+            loop(lane).post(task);
+        }
+    }
+
+    /** What all loops hold together. Any thread may ask. */
+    CompletableFuture<Hosted.Held> held() {
+        CompletableFuture<Hosted.Held> sum = CompletableFuture.completedFuture(
+                new Hosted.Held(0, 0, new Counters()));
+        for (Lane lane : lanes) {
+            CompletableFuture<Hosted.Held> one = new CompletableFuture<>();
+            Network network = lane.network();
+            network.loop().post(() -> {
+                Counters copy = new Counters();
+                copy.addAll(network.counters());
+                one.complete(new Hosted.Held(network.loop().deadlines(), network.budget().held(), copy));
+            });
+            sum = sum.thenCombine(one, (a, b) -> {
+                a.counters().addAll(b.counters());
+                return new Hosted.Held(a.deadlines() + b.deadlines(), b.bufferBytes(), a.counters());
+            });
+        }
+        return sum;
+    }
+
+    // ---- The door ---------------------------------------------------------------------------------------------
+
+    @Override
+    public Clients home(Map<String, String> startup, Clients here) {
+        Home home = homes.get(Tenants.name(startup));
+        if (home == null || lanes.size() == 1) {
+            return here;                  // who names nobody is told so here
+        }
+        boolean alone = home.clients == 0 && (home.lane > 0 || lanes.get(0).tenants().isAlone(home.spec.id()));
+        if (alone) {
+            wake(home);
+        }
+        if (home.lane == 0) {
+            return here;
+        }
+        home.clients++;
+        return clients.get(home.lane);
+    }
+
+    @Override
+    public void ended(Map<String, String> startup, Clients there) {
+        Home home = homes.get(Tenants.name(startup));
+        // One that was removed meanwhile, and came again, has other clients; none of them is counted twice.
+        if (home != null && clients.get(home.lane) == there && home.clients > 0) {
+            home.clients--;
+        }
+    }
+
+    /** Chooses a home for a tenant whose first client has come. */
+    private void wake(Home home) {
+        long[] worked = new long[lanes.size()];
+        for (int i = 0; i < worked.length; i++) {
+            worked[i] = loop(i).worked();
+        }
+        placement.seen(worked, front.loop().now());
+        int before = home.lane;
+        home.lane = placement.woken(before, home.spec.weight());
+        if (home.lane == before) {
+            return;
+        }
+        TenantSpec spec = home.spec;
+        Tenants left = lanes.get(before).tenants();
+        Tenants next = lanes.get(home.lane).tenants();
+        int to = home.lane;
+        front.log().println("tenant " + spec.id() + " moves from loop " + before + " to " + to);
+        CompletableFuture<Runnable> arrived = new CompletableFuture<>();
+        on(to, () -> arrived.complete(next.arrive(spec)));
+        on(before, () -> left.remove(spec.id(), at -> arrived.thenAccept(over -> loop(to).post(over))));
+    }
+
+    @Override
+    public boolean asksPassword(Map<String, String> startup) {
+        return lanes.get(0).tenants().asksPassword(startup);
+    }
+
+    @Override
+    public Clients.Taker admit(Map<String, String> startup) throws ProtocolException {
+        return lanes.get(0).tenants().admit(startup);
+    }
+
+    @Override
+    public Clients.Taker admit(Map<String, String> startup, byte[] password) throws ProtocolException {
+        return lanes.get(0).tenants().admit(startup, password);
+    }
+
+    // ---- Stopping ---------------------------------------------------------------------------------------------
+
+    /** Has the other loops drain, and says whether, when last asked, nothing was open on any. */
+    boolean isDrained() {
+        boolean all = lanes.get(0).tenants().isEmpty();
+        for (int i = 1; i < lanes.size(); i++) {
+            int lane = i;
+            loop(i).post(() -> {
+                clients.get(lane).drain();
+                boolean empty = clients.get(lane).isEmpty() && lanes.get(lane).tenants().isEmpty();
+                front.loop().post(() -> drained[lane] = empty);
+            });
+            all &= drained[i];
+        }
+        return all;
+    }
+
+    /** Closes the tenants of all loops and ends the others' turns. */
+    void close() {
+        lanes.get(0).tenants().close(CloseReason.DRAINED);
+        for (int i = 1; i < lanes.size(); i++) {
+            Lane lane = lanes.get(i);
+            loop(i).post(() -> {
+                lane.tenants().close(CloseReason.DRAINED);
+                front.log().println(lane.network().counters());
+                lane.network().loop().stop();
+            });
+        }
+    }
+}
--- a/gateway/src/main/java/shelffront/net/Budget.java
+++ b/gateway/src/main/java/shelffront/net/Budget.java
@@ -1,14 +1,17 @@
 package shelffront.net;
 
+import java.util.concurrent.atomic.AtomicLong;
+
 /**
  * Something counted that those who share it may hold only so much of: bytes of buffers, sockets. What is taken must be
- * given back. A budget may be a part of a greater one, and then counts in both.
+ * given back. A budget may be a part of a greater one, and then counts in both. Any thread may call: several turn loops
+ * share the greatest.
  */
 public final class Budget {
 
     private final Budget whole;
-    private long most;
-    private long held;
+    private final AtomicLong held = new AtomicLong();
+    private volatile long most;
 
     public Budget(long most) {
         this(null, most);
@@ -26,21 +29,28 @@
     }
 
     public boolean take(long amount) {
-        if (amount > most - held || whole != null && !whole.take(amount)) {
+        long before = held.get();
+        while (amount <= most - before && !held.compareAndSet(before, before + amount)) {
+            before = held.get();
+        }
+        if (amount > most - before) {
+            return false;
+        }
+        if (whole != null && !whole.take(amount)) {
+            held.addAndGet(-amount);
             return false;
         }
-        held += amount;
         return true;
     }
 
     public void giveBack(long amount) {
-        held -= amount;
+        held.addAndGet(-amount);
         if (whole != null) {
             whole.giveBack(amount);
         }
     }
 
     public long held() {
-        return held;
+        return held.get();
     }
 }
--- a/gateway/src/main/java/shelffront/net/Connection.java
+++ b/gateway/src/main/java/shelffront/net/Connection.java
@@ -30,8 +30,11 @@
     private TurnLoop.Deadline stall;
     private boolean connected;
     private boolean reading;
+    private boolean paused;           // what was read is not all consumed, since no more input was wanted
     private CloseReason peerEnded;
     private CloseReason closeWhenWritten;
+    private Runnable moving;          // what begins on the loop that it moves to, once nothing of it is out here
+    private Network movingTo;
     private int toDrop;               // bytes still read for nothing while a connection ends
     private boolean closed;
 
@@ -67,6 +70,41 @@
         return true;
     }
 
+    /**
+     * Moves to another loop, once what is being read is parsed and what was written has gone out: from then on nothing
+     * of it is on this one, and {@code there} runs on that one, as its first turn. Neither loop has it in between.
+     */
+    protected final void moveTo(Network next, Runnable there) {
+        movingTo = next;
+        moving = there;
+    }
+
+    private void move() {
+        if (moving == null || reading || !drained()) {
+            return;
+        }
+        network.loop().leave(this);
+        if (stall != null) {
+            stall.cancel();
+        }
+        Runnable there = moving;
+        moving = null;
+        leaving();
+        network = movingTo;
+        network.loop().post(there);
+    }
+
+    /** Nothing of it is out on the present loop, which it leaves now. */
+    protected void leaving() { }
+
+    /** Goes on after a move, on the new loop: with what had been read before, then with what comes. */
+    protected final void resume() {
+        reading = true;
+        offer();
+        reading = false;
+        readMore();
+    }
+
     protected final long now() {
         return network.loop().now();
     }
@@ -104,9 +142,23 @@
     }
 
     protected final void readMore() {
-        if (reading || closed || !connected || peerEnded != null || closeWhenWritten != null || !wantsInput()) {
+        if (reading || closed || !connected || peerEnded != null || closeWhenWritten != null || moving != null
+                || !wantsInput()) {
             return;
         }
+        if (paused) {
+            // Nothing more may ever come that would have the rest looked at.
+            reading = true;
+            offer();
+            reading = false;
+            if (moving != null) {
+                move();
+                return;
+            }
+            if (paused || closed || closeWhenWritten != null || !wantsInput()) {
+                return;
+            }
+        }
         if (!input.hasRemaining() && !grow()) {
             return;
         }
@@ -133,12 +185,21 @@
         // Still marked as reading: a read begun from within would fill the buffer while it is being parsed.
         offer();
         reading = false;
-        readMore();
+        if (moving != null) {
+            move();
+        } else {
+            readMore();
+        }
     }
 
     private void offer() {
         input.flip();
-        received(input);
+        int before;
+        do {
+            before = input.remaining();
+            received(input);
+        } while (input.remaining() < before && input.hasRemaining() && !closed && moving == null && wantsInput());
+        paused = input.hasRemaining() && !wantsInput();
         input.compact();
         if (input.position() == 0 && input.capacity() > FIRST_BUFFER) {
             network.budget().giveBack(input.capacity() - FIRST_BUFFER);
@@ -240,6 +301,10 @@
         if (closed) {
             return;
         }
+        if (moving != null && output.isEmpty()) {
+            move();
+            return;
+        }
         network.loop().flushLater(this);
         if (peerEnded != null) {
             close(peerEnded);
--- a/gateway/src/main/java/shelffront/net/Counters.java
+++ b/gateway/src/main/java/shelffront/net/Counters.java
@@ -39,6 +39,11 @@
         }
     }
 
+    /** Adds what another counted. */
+    public void addAll(Counters other) {
+        other.values.forEach(this::add);
+    }
+
     public long get(Name name) {
         return values.getOrDefault(name, 0L);
     }
--- a/gateway/src/main/java/shelffront/net/Network.java
+++ b/gateway/src/main/java/shelffront/net/Network.java
@@ -14,11 +14,23 @@
 
     /** One thread runs all completion handlers; they do nothing but post to the loop. */
     public static Network open(TurnLoop loop, Budget budget, Counters counters, Log log) throws IOException {
-        return new Network(loop, AsynchronousChannelGroup.withFixedThreadPool(1, task -> {
+        return new Network(loop, group(1), budget, counters, log, loop.common(), "");
+    }
+
+    /**
+     * A view whose channels' completions run on several threads: for a listener before several loops. Only for
+     * connections that need not see a write's completion before the answer to it.
+     */
+    public Network withThreads(int threads) throws IOException {
+        return new Network(loop, group(threads), budget, counters, log, flow, tenant);
+    }
+
+    private static AsynchronousChannelGroup group(int threads) throws IOException {
+        return AsynchronousChannelGroup.withFixedThreadPool(threads, task -> {
             Thread thread = new Thread(task, "completions");
             thread.setDaemon(true);
             return thread;
-        }), budget, counters, log, loop.common(), "");
+        });
     }
 
     /** A tenant's view: its own flow, budget and counters, which count in the common ones too. */
--- a/gateway/src/main/java/shelffront/net/TurnLoop.java
+++ b/gateway/src/main/java/shelffront/net/TurnLoop.java
@@ -52,6 +52,7 @@
     private long now;
     private long deadlineOrder;
     private boolean stopped;
+    private volatile long worked;
 
     /** The clock gives Unix microseconds; it may step back, the time seen here never does. */
     public TurnLoop(LongSupplier clock, Counters counters) {
@@ -100,6 +101,10 @@
         toFlush.add(connection);
     }
 
+    void leave(Connection connection) {
+        toFlush.remove(connection);
+    }
+
     public void stop() {
         stopped = true;
     }
@@ -108,6 +113,7 @@
         while (!stopped) {
             sort(rounds.isEmpty() ? results.poll(untilNextDeadline(), TimeUnit.MICROSECONDS) : results.poll());
             tick();
+            long began = now;
             Runnable result = rounds.next();
             for (int i = 0; result != null; i++) {
                 long from = now;
@@ -125,9 +131,16 @@
                 toFlush.remove(connection);
                 guarded(connection::flush);
             }
+            tick();
+            worked += now - began;
         }
     }
 
+    /** Microseconds that it has worked and not waited, as of its last turn. Any thread may ask. */
+    public long worked() {
+        return worked;
+    }
+
     /** Puts what has come into its flows. */
     private void sort(Result result) {
         for (Result each = result; each != null; each = results.poll()) {
--- a/gateway/src/main/java/shelffront/server/Servers.java
+++ b/gateway/src/main/java/shelffront/server/Servers.java
@@ -15,11 +15,13 @@
 import shelffront.route.Router.Status;
 import shelffront.config.MemberList;
 import shelffront.exchange.Attempt;
-import shelffront.net.Budget;
 import shelffront.net.CloseReason;
 import shelffront.net.Counters;
 import shelffront.net.Network;
 import shelffront.pg.Message;
+import shelffront.share.Holdings;
+import shelffront.share.Holdings.Holding;
+import shelffront.share.Holdings.Verdict;
 
 /** The server side: a pool of connections to each database host, the attempts and the probes. */
 public final class Servers {
@@ -39,17 +41,20 @@
 
     private final Network network;
     private final Limits limits;
-    private final Budget sockets;
+    private final Holding sockets;
     final Login login;
     private final Listener listener;
     private final Map<String, Host> hosts = new TreeMap<>();
     private final Map<Attempt, Errand> errands = new HashMap<>();
+    private boolean owes;             // another tenant waits for a socket, and none of these was idle
 
-    /** Each connection takes one of the sockets while it is open. */
-    public Servers(Network network, Limits limits, Budget sockets, Login login, Listener listener) {
+    /** Each connection takes one of the sockets, divided by weight and bounded, while it is open. */
+    public Servers(Network network, Limits limits, Holdings sockets, double weight, int mostSockets, Login login,
+            Listener listener) {
         this.network = network;
         this.limits = limits;
-        this.sockets = sockets;
+        this.sockets = sockets.join(weight, mostSockets, () -> network.post(this::giveOneBack),
+                () -> network.post(this::oneCame));
         this.login = login;
         this.listener = listener;
     }
@@ -148,9 +153,13 @@
         }
     }
 
-    /** At the bound for sockets the errand waits for a connection of its host to come free. */
+    /** At the bound for sockets the errand waits for a connection of its host, or for a socket, to come free. */
     private void open(Host host) {
-        if (!sockets.take(1) && !(evict() && sockets.take(1))) {
+        Verdict verdict = sockets.take(false);
+        if (verdict != Verdict.TAKEN && evict()) {
+            verdict = sockets.take(true);
+        }
+        if (verdict != Verdict.TAKEN) {
             return;
         }
         AsynchronousSocketChannel channel;
@@ -158,7 +167,7 @@
             channel = network.newChannel();
         } catch (IOException e) {
             network.log().println("no socket for " + host.id + ": " + e.getMessage());
-            sockets.giveBack(1);
+            sockets.giveBack();
             return;
         }
         host.opening++;
@@ -166,6 +175,34 @@
         host.connections.add(new HostConnection(network, channel, host, this, limits.connectTimeout()));
     }
 
+    /** What another tenant is owed: an idle connection goes now, or the next that falls idle. */
+    private void giveOneBack() {
+        owes = sockets.beyond() > 0 && !evict();
+    }
+
+    private void oneCame() {
+        sockets.told();
+        for (Host host : hosts.values()) {
+            while (host.opening < host.waiting.size()) {
+                int before = host.opening;
+                open(host);
+                if (host.opening == before) {
+                    return;
+                }
+            }
+        }
+    }
+
+    /** Its part of the sockets, which it shares with others, may change. */
+    public void bound(double weight, int mostSockets) {
+        sockets.change(weight, mostSockets);
+    }
+
+    /** Sockets that are open to hosts. */
+    public int held() {
+        return sockets.held();
+    }
+
     private boolean evict() {
         for (Host host : hosts.values()) {
             if (!host.idle.isEmpty()) {
@@ -190,6 +227,9 @@
         Errand next = host.waiting.poll();
         if (next != null) {
             carry(connection, next);
+        } else if (owes && sockets.beyond() > 0) {
+            owes = false;
+            connection.close(CloseReason.GIVEN_BACK);
         } else if (hosts.get(host.id) != host) {
             connection.close(CloseReason.LEFT_LIST);
         } else {
@@ -215,7 +255,7 @@
     /** A connection that ends while it opens takes the errand that waited longest with it. */
     void ended(HostConnection connection) {
         Host host = connection.host;
-        sockets.giveBack(1);
+        sockets.giveBack();
         host.connections.remove(connection);
         host.idle.remove(connection);
         if (!connection.ready()) {
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -14,7 +14,6 @@
 import shelffront.discovery.Discovery;
 import shelffront.exchange.Attempt;
 import shelffront.exchange.Exchange;
-import shelffront.net.Budget;
 import shelffront.net.CloseReason;
 import shelffront.net.Counters;
 import shelffront.net.Network;
@@ -31,6 +30,7 @@
 import shelffront.route.Router.Status;
 import shelffront.server.Reply;
 import shelffront.server.Servers;
+import shelffront.share.Holdings;
 import shelffront.share.RateLimit;
 import shelffront.share.Shares;
 
@@ -56,7 +56,7 @@
     private final long seed;
     private final Shares shares;          // null where it has the gateway to itself
     private final Shares.Share share;
-    private final Budget sockets;
+    private final Holdings sockets;
     private final RateLimit rate;
     private TenantSpec spec;
     private State state = State.ASLEEP;
@@ -68,13 +68,14 @@
     private Deadline wake;
     private Deadline sleep;
     private Runnable whenGone;
+    private boolean left;             // nothing of it remains
     private boolean predecessor;          // another module served this tenant's sessions, and still does
     private long marksFrom;               // writes before this time may have gone through another module
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final Set<Clients.Client> clients = new LinkedHashSet<>();
 
     /** The sockets are those for hosts; shares is null for one that has the gateway to itself. */
-    public Tenant(Network network, TenantSpec spec, long seed, Budget sockets, Shares shares) {
+    public Tenant(Network network, TenantSpec spec, long seed, Holdings sockets, Shares shares) {
         this.network = network;
         this.loop = network.loop();
         this.spec = spec;
@@ -97,6 +98,9 @@
     void predecessorGone() {
         predecessor = false;
         marksFrom = loop.now();
+        if (left) {
+            whenGone.run();
+        }
     }
 
     // ---- Life -------------------------------------------------------------------------------------------------
@@ -110,7 +114,8 @@
         boolean first = router == null;
         if (first) {
             router = new Decide(this);
-            servers = new Servers(network, spec.settings().limits(), sockets, spec.login(), this);
+            servers = new Servers(network, spec.settings().limits(), sockets, spec.weight(),
+                    spec.bounds().hostConnections(), spec.login(), this);
             if (spec.discovery() != null) {
                 discovery = new Discovery(network, spec.discovery(), spec.boxes().revision(), this);
             }
@@ -162,7 +167,9 @@
         spec = next;
         rate.set(next.bounds().requestsPerSecond(), next.bounds().burst(), loop.now());
         network.budget().bound(next.bounds().bufferBytes());
-        sockets.bound(next.bounds().hostConnections());
+        if (servers != null) {
+            servers.bound(next.weight(), next.bounds().hostConnections());
+        }
         network.flow().weight(next.weight());
         if (share != null) {
             shares.change(share, next.weight(), next.shares());
@@ -230,7 +237,10 @@
         if (share != null) {
             shares.leave(share);
         }
-        whenGone.run();
+        left = true;
+        if (!predecessor) {          // else whoever comes after this one would not wait for the one before it
+            whenGone.run();
+        }
     }
 
     private static ProtocolException removed() {
@@ -259,6 +269,11 @@
         }
     }
 
+    /** Whether it has no client. */
+    boolean isAlone() {
+        return clients.isEmpty();
+    }
+
     /** Whether nothing that was taken is open, answers and attempts alike. */
     public boolean isEmpty() {
         return exchanges.isEmpty();
@@ -271,7 +286,7 @@
 
     /** What it uses now and what it has done since the start. */
     public Usage usage() {
-        return new Usage(clients.size(), exchanges.size(), sockets.held(), network.budget().held(),
+        return new Usage(clients.size(), exchanges.size(), servers == null ? 0 : servers.held(), network.budget().held(),
                 network.counters().values());
     }
 
--- a/gateway/src/main/java/shelffront/tenant/Tenants.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenants.java
@@ -7,10 +7,10 @@
 import java.util.Set;
 import java.util.function.LongConsumer;
 import shelffront.client.Clients;
-import shelffront.net.Budget;
 import shelffront.net.CloseReason;
 import shelffront.net.Network;
 import shelffront.pg.ProtocolException;
+import shelffront.share.Holdings;
 import shelffront.share.Rounds.Flow;
 import shelffront.share.Shares;
 
@@ -24,13 +24,13 @@
 
     private final Network network;
     private final Shares shares;
-    private final Budget hostSockets;
+    private final Holdings hostSockets;
     private final Map<String, Tenant> tenants = new HashMap<>();
     /** Removed or replaced, with work that is not over. */
     private final Set<Tenant> leaving = new LinkedHashSet<>();
     private long seed;
 
-    public Tenants(Network network, Shares shares, Budget hostSockets, long seed) {
+    public Tenants(Network network, Shares shares, Holdings hostSockets, long seed) {
         this.network = network;
         this.shares = shares;
         this.hostSockets = hostSockets;
@@ -46,7 +46,7 @@
         }
         Flow<Runnable> flow = new Flow<>(spec.weight());
         Tenant next = new Tenant(network.of(spec.id(), flow, spec.bounds().bufferBytes()), spec, seed++,
-                new Budget(hostSockets, spec.bounds().hostConnections()), shares);
+                hostSockets, shares);
         tenants.put(spec.id(), next);
         if (running == null) {
             inForce.accept(network.loop().now());
@@ -60,6 +60,23 @@
         });
     }
 
+    /**
+     * Takes up a tenant that another loop has served: until the task given back has run here, once all is over there,
+     * and for what was written before that, reads must be covered.
+     */
+    public Runnable arrive(TenantSpec spec) {
+        apply(spec, at -> { });
+        Tenant arrived = tenants.get(spec.id());
+        arrived.succeeds();
+        return arrived::predecessorGone;
+    }
+
+    /** Whether a tenant has no client here. */
+    public boolean isAlone(String id) {
+        Tenant tenant = tenants.get(id);
+        return tenant == null || tenant.isAlone();
+    }
+
     /** Takes a tenant out of service; {@code gone} is told the time once nothing of it is left. */
     public void remove(String id, LongConsumer gone) {
         Tenant tenant = tenants.remove(id);
@@ -96,9 +113,14 @@
 
     // ---- The door ---------------------------------------------------------------------------------------------
 
-    private Tenant named(Map<String, String> startup) {
+    /** The tenant that a startup message names: its database, or, as PostgreSQL has it, the user where it has none. */
+    public static String name(Map<String, String> startup) {
         String user = startup.getOrDefault("user", "");
-        return tenants.get(startup.getOrDefault("database", user));
+        return startup.getOrDefault("database", user);
+    }
+
+    private Tenant named(Map<String, String> startup) {
+        return tenants.get(name(startup));
     }
 
     /** Only of those who admit everybody can anything be learnt without a key. */
--- a/gateway/src/test/java/shelffront/admin/AdminTest.java
+++ b/gateway/src/test/java/shelffront/admin/AdminTest.java
@@ -350,4 +350,69 @@
     Arbitrary<String> methods() {
         return Arbitraries.of("GET", "PUT", "POST", "DELETE");
     }
+
+    /** A key is made, shown once, replaced without a gap and ended; another tenant's administrator sees none of it. */
+    @Example
+    void keysOfClientsAreMadeAndEnded() throws Exception {
+        assertEquals(201, call("POST", "/v1/tenants", operator, tenant("keyed")).statusCode());
+        String admin = hosted.tokens().create("keyed", "test");
+        assertEquals(422, call("POST", "/v1/tenants/keyed/keys", admin, "{\"user\": 7}").statusCode());
+        JsonNode first = json(call("POST", "/v1/tenants/keyed/keys", admin, "{\"user\": \"api\"}"));
+        JsonNode second = json(call("POST", "/v1/tenants/keyed/keys", admin, "{\"user\": \"api\"}"));
+        assertEquals(List.of(true, true, false), List.of(admitted(first), admitted(second),
+                admitted(JSON.createObjectNode().put("key", "wrong"))));
+        HttpResponse<String> list = call("GET", "/v1/tenants/keyed/keys", admin, null);
+        assertEquals(2, json(list).path("keys").size());
+        assertFalse(list.body().contains(first.path("key").asText()));
+        String path = "/v1/tenants/keyed/keys/" + first.path("id").asText();
+        assertEquals(404, call("DELETE", path, own, null).statusCode());
+        assertEquals(200, call("DELETE", path, admin, null).statusCode());
+        assertEquals(404, call("DELETE", path, admin, null).statusCode());
+        assertEquals(List.of(false, true), List.of(admitted(first), admitted(second)));
+        assertEquals(422, call("DELETE", "/v1/tenants/keyed/keys/" + second.path("id").asText(), admin, null)
+                .statusCode(), "the last key's end would open the tenant to everybody");
+        assertTrue(admitted(second));
+        assertEquals(404, call("POST", "/v1/tenants/nobody/keys", operator, "{\"user\": \"api\"}").statusCode());
+        assertEquals(405, call("PUT", "/v1/tenants/keyed/keys", admin, "{}").statusCode());
+    }
+
+    private static boolean admitted(JsonNode key) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), hosted.address().getPort())) {
+            socket.setSoTimeout(20_000);
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            socket.getOutputStream().write(Message.startup("api", "keyed"));
+            assertEquals('R', in.readUnsignedByte());
+            in.skipNBytes(in.readInt() - 4);
+            byte[] word = (key.path("key").asText() + "\0").getBytes(StandardCharsets.ISO_8859_1);
+            socket.getOutputStream().write(new Message('p', word).bytes());
+            return in.readUnsignedByte() == 'R';
+        }
+    }
+
+    /** One token's polls leave places for others'. */
+    @Example
+    void oneAdministratorsPollsLeaveRoomForOthers() throws Exception {
+        List<CompletableFuture<HttpResponse<String>>> polls = new ArrayList<>();
+        String greedy = hosted.tokens().create("harbour", "test");
+        for (int i = 0; i < 12; i++) {
+            HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:"
+                    + hosted.adminAddress().getPort() + "/v1/changes?after=999999&wait=2s"))
+                    .header("Authorization", "Bearer " + greedy).build();
+            polls.add(CLIENT.sendAsync(request, BodyHandlers.ofString()));
+        }
+        int refused = 0;
+        for (int i = 0; i < 8; i++) {
+            refused += CompletableFuture.anyOf(polls.toArray(CompletableFuture[]::new))
+                    .thenApply(a -> ((HttpResponse<?>) a).statusCode()).get(20, TimeUnit.SECONDS) == 429 ? 1 : 0;
+            polls.removeIf(CompletableFuture::isDone);
+            if (polls.size() <= 4) {
+                break;
+            }
+        }
+        assertTrue(refused > 0, "one token may take all places");
+        assertEquals(200, call("GET", "/v1/changes?after=0&wait=1s", own, null).statusCode());
+        for (CompletableFuture<HttpResponse<String>> each : polls) {
+            assertTrue(Set.of(200, 429).contains(each.get(20, TimeUnit.SECONDS).statusCode()));
+        }
+    }
 }
--- a/gateway/src/test/java/shelffront/tenant/TenantSleepTest.java
+++ b/gateway/src/test/java/shelffront/tenant/TenantSleepTest.java
@@ -15,6 +15,7 @@
 import shelffront.client.Clients;
 import shelffront.exchange.Exchange;
 import shelffront.net.Budget;
+import shelffront.share.Holdings;
 import shelffront.net.CloseReason;
 import shelffront.net.Counters;
 import shelffront.net.Network;
@@ -77,7 +78,7 @@
                 {"id": "airport", "boxes": {"list": []}, "graceMs": 2000,
                  "classes": [{"name": "read", "giveUpMs": 100000, "read": "session"}]}
                 """.getBytes(StandardCharsets.UTF_8)));
-        tenant = new Tenant(network.of("airport", new Flow<>(1), 1 << 20), spec, 7, new Budget(10),
+        tenant = new Tenant(network.of("airport", new Flow<>(1), 1 << 20), spec, 7, new Holdings(10),
                 new Shares(0, 10, loop.now()));
         turns = new Thread(() -> {
             try {
--- a/lab/experiments/tenant-flood.jsonnet
+++ b/lab/experiments/tenant-flood.jsonnet
@@ -22,9 +22,23 @@
       name: 'all flood',
       load: { [t]: { perSecond: 2 * capacity, connections: 96 } for t in ['one', 'two', 'four'] },
     },
+    {
+      name: 'weight cut under flood',
+      load: { [t]: { perSecond: 2 * capacity, connections: 96 } for t in ['one', 'two', 'four'] },
+      change: { four: { weight: 1 } },
+    },
+    {
+      name: 'all flood, 3 loops',
+      cores: 3,
+      load: { [t]: { perSecond: 2 * capacity, connections: 96 } for t in ['one', 'two', 'four'] },
+    },
+    { name: 'flooded, 2 loops', cores: 2, load: { calm: calm, rush: flood } },
   ],
   claims: [
     { phase: 'flooded', against: 'alone', tenant: 'calm', within: 0.05 },
     { phase: 'all flood', within: 0.05 },
+    { phase: 'weight cut under flood', within: 0.05 },
+    { phase: 'all flood, 3 loops', within: 0.05 },
+    { phase: 'flooded, 2 loops', against: 'alone', tenant: 'calm', within: 0.05 },
   ],
 }
--- a/lab/src/main/java/shelffront/lab/experiment/Experiment.java
+++ b/lab/src/main/java/shelffront/lab/experiment/Experiment.java
@@ -69,6 +69,7 @@
         try {
             ObjectNode config = SpecJson.JSON.createObjectNode().put("listen", "127.0.0.1:0")
                     .put("sockets", file.path("sockets").asInt(4096));
+            config.put("cores", phase.path("cores").asInt(file.path("cores").asInt(1)));
             config.set("capacity", file.path("capacity"));
             ArrayNode tenants = config.putArray("tenants");
             int most = phase.path("tenants").asInt(Integer.MAX_VALUE);
@@ -86,7 +87,7 @@
             }
             Hosted hosted = new Hosted(HostedConfig.read(config), line -> { });
             Thread turns = hosted.start();
-            load(phase, hosted.address(), turns);
+            load(phase, hosted, turns, tenants);
             hosted.drain();
             turns.join();
         } finally {
@@ -110,18 +111,30 @@
         ThreadMXBean threads = ManagementFactory.getThreadMXBean();
         long sum = threads.getThreadCpuTime(turns.getId());
         for (Thread each : Thread.getAllStackTraces().keySet()) {
-            sum += each.getName().equals("completions") ? Math.max(0, threads.getThreadCpuTime(each.getId())) : 0;
+            sum += each.getName().equals("completions") || each.getName().startsWith("turns-") ? Math.max(0, threads.getThreadCpuTime(each.getId())) : 0;
         }
         return sum;
     }
 
-    private void load(JsonNode phase, InetSocketAddress address, Thread turns)
-            throws IOException, InterruptedException {
+    private void load(JsonNode phase, Hosted hosted, Thread turns, ArrayNode tenants)
+            throws IOException, SpecException, InterruptedException {
         String name = phase.path("name").asText();
-        InetSocketAddress gateway = new InetSocketAddress(InetAddress.getLoopbackAddress(), address.getPort());
+        InetSocketAddress gateway = new InetSocketAddress(InetAddress.getLoopbackAddress(),
+                hosted.address().getPort());
         double warm = file.path("warmSeconds").asDouble(2);
         double seconds = file.path("seconds").asDouble(5);
         run(phase, gateway, warm);                 // compiled code and known boxes before anything counts
+        // A change in the midst of the same load: what was before it is over, and what is measured comes after.
+        for (Iterator<String> each = phase.path("change").fieldNames(); each.hasNext();) {
+            String id = each.next();
+            for (JsonNode tenant : tenants) {
+                if (tenant.path("id").asText().equals(id)) {
+                    ObjectNode next = tenant.deepCopy();
+                    next.setAll((ObjectNode) phase.path("change").path(id));
+                    hosted.apply(SpecJson.read(next), at -> { });
+                }
+            }
+        }
         long before = cpu(turns);
         Map<String, Load.Result> measured = run(phase, gateway, seconds);
         double cost = (cpu(turns) - before) / 1e3 / measured.values().stream().mapToLong(r -> r.due.sum()).sum();
@@ -196,19 +209,25 @@
         double weights = 0;
         double served = 0;
         for (var each : phase.entrySet()) {
-            weights += weight(each.getKey());
+            weights += weight(claim, each.getKey());
             served += each.getValue().onTime.sum() + each.getValue().late.sum();
         }
         for (var each : phase.entrySet()) {
             double share = (each.getValue().onTime.sum() + each.getValue().late.sum()) / served;
-            double due = weight(each.getKey()) / weights;
+            double due = weight(claim, each.getKey()) / weights;
             say(Math.abs(share - due) <= within * due, String.format(Locale.ROOT,
                     "%s is served %.3f of all in phase %s, by weight %.3f: within %.0f %%", each.getKey(), share,
                     claim.path("phase").asText(), due, within * 100));
         }
     }
 
-    private double weight(String tenant) {
+    private double weight(JsonNode claim, String tenant) {
+        for (JsonNode phase : file.path("phases")) {
+            JsonNode changed = phase.path("change").path(tenant).path("weight");
+            if (phase.path("name").equals(claim.path("phase")) && changed.isNumber()) {
+                return changed.asDouble();
+            }
+        }
         return file.path("tenants").path(tenant).path("weight").asDouble(1);
     }
 
--- a/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
+++ b/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
@@ -31,14 +31,19 @@
 /** A hosted gateway with stand-in boxes, where tenants come, change, stall and go while requests are in it. */
 class HostedTenantsTest {
 
-    private static final int MISSING_MS = 20_000;
+    static final int MISSING_MS = 20_000;
 
     private final List<AutoCloseable> open = new ArrayList<>();
-    private Hosted hosted;
+    Hosted hosted;
     private Thread turns;
 
-    private void start(ObjectNode... tenants) throws Exception {
-        ObjectNode config = SpecJson.JSON.createObjectNode().put("listen", "127.0.0.1:0");
+    /** Turn loops of the gateway. */
+    int cores() {
+        return 1;
+    }
+
+    void start(ObjectNode... tenants) throws Exception {
+        ObjectNode config = SpecJson.JSON.createObjectNode().put("listen", "127.0.0.1:0").put("cores", cores());
         config.putObject("capacity").put("openRequests", 100);
         ArrayNode list = config.putArray("tenants");
         for (ObjectNode tenant : tenants) {
@@ -58,13 +63,13 @@
         assertTrue(!turns.isAlive(), "the gateway did not stop");
     }
 
-    private StandInSet boxes(String name, int replicas, double workMs) throws IOException {
+    StandInSet boxes(String name, int replicas, double workMs) throws IOException {
         StandInSet set = new StandInSet(name, replicas, 4, workMs, 5);
         open.add(set);
         return set;
     }
 
-    private static ObjectNode tenant(String id, StandInSet set) {
+    static ObjectNode tenant(String id, StandInSet set) {
         ObjectNode tenant = SpecJson.JSON.createObjectNode().put("id", id).put("graceMs", 0);
         ArrayNode classes = tenant.putArray("classes");
         classes.addObject().put("name", "read").put("giveUpMs", 20_000).put("read", "any");
@@ -81,9 +86,9 @@
     }
 
     /** A client; every message that comes is read whole. */
-    private final class Client implements AutoCloseable {
+    final class Client implements AutoCloseable {
 
-        private final Socket socket;
+        final Socket socket;
         private final DataInputStream in;
 
         Client(String database, String password) throws IOException {
@@ -98,6 +103,15 @@
             }
         }
 
+        /** One that says all of this at once. */
+        Client(byte[] all) throws IOException {
+            socket = new Socket(InetAddress.getLoopbackAddress(), hosted.address().getPort());
+            open.add(this);
+            socket.setSoTimeout(MISSING_MS);
+            in = new DataInputStream(socket.getInputStream());
+            socket.getOutputStream().write(all);
+        }
+
         /** The next message's type and text; empty where the connection has ended. */
         String next() throws IOException {
             try {
@@ -131,25 +145,25 @@
         }
     }
 
-    private static byte[] query(String id, String type) {
+    static byte[] query(String id, String type) {
         String statement = type.equals("write") ? "INSERT INTO rows VALUES ('h', 'x')" : "SELECT blob FROM rows";
         return Message.query(("/* id=" + id + ",c=" + type + ",d=15000,k=" + id + ",cluster=1 */ " + statement)
                 .getBytes(ISO_8859_1));
     }
 
-    private long counted(Counters.Name name) throws Exception {
+    long counted(Counters.Name name) throws Exception {
         return hosted.held().get(MISSING_MS, TimeUnit.MILLISECONDS).counters().get(name);
     }
 
     /** Waits, looking at counts of the program itself and not at a clock, until it has taken so many requests. */
-    private void untilTaken(long requests) throws Exception {
+    void untilTaken(long requests) throws Exception {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MISSING_MS);
         while (counted(Counters.Name.REQUESTS_TAKEN) < requests) {
             assertTrue(System.nanoTime() < end, "the requests were not taken");
         }
     }
 
-    private void removed(String id) throws Exception {
+    void removed(String id) throws Exception {
         CompletableFuture<Long> gone = new CompletableFuture<>();
         hosted.remove(id, gone::complete);
         gone.get(MISSING_MS, TimeUnit.MILLISECONDS);
