--- a/core/src/main/java/shelffront/share/Holdings.java
+++ b/core/src/main/java/shelffront/share/Holdings.java
@@ -11,8 +11,8 @@
  * may be held too, up to a part of all; the rest is there for whoever holds less than its own part. Where that is used
  * up, the one furthest beyond its part is asked to give one back, and whoever waits is told when one has come.
  *
- * <p>A tenant's part counts those who hold anything now or wait for it. Any thread may call; nothing waits. Both callbacks are called
- * by whichever thread gives back or takes, so they only pass the word on.
+ * <p>A tenant's part counts those who hold anything now or wait for it. Any thread may call; nothing waits. Both
+ * callbacks are called by whichever thread gives back or takes, so they only pass the word on.
  */
 public final class Holdings {
 
--- a/core/src/main/java/shelffront/share/Shares.java
+++ b/core/src/main/java/shelffront/share/Shares.java
@@ -16,9 +16,9 @@
  * <p>Costs nothing for tenants that ask for nothing: figures are counted anew at the first request after a window has
  * passed, and only over those who asked of late. Times are microseconds and never step back.
  *
- * <p>Where several turn loops serve tenants, each has its own and all have one {@link Common}: each tells there what its
- * tenants ask for whenever it divides, counts what the others told as asked for too, and takes its own tenants' parts.
- * So all come to the same division, one window late at most, and none waits for another.
+ * <p>Where several turn loops serve tenants, each has its own and all have one {@link Common}: each tells there what
+ * its tenants ask for whenever it divides, counts what the others told as asked for too, and takes its own tenants'
+ * parts. So all come to the same division, one window late at most, and none waits for another.
  */
 public final class Shares {
 
@@ -114,7 +114,7 @@
     private long windowFrom;
     private boolean dirty;                // a weight has changed: the rate is divided at the next request
 
-    /** Of the only loop: so many requests a second, 0 for no such bound, and so many open at a time for all together. */
+    /** Of the only loop: so many requests a second, 0 for no such bound, and so many open at a time for all. */
     public Shares(double rate, int places, long now) {
         this(new Common(rate, places, 1), 0, now);
     }
--- a/gateway/src/main/java/shelffront/client/Clients.java
+++ b/gateway/src/main/java/shelffront/client/Clients.java
@@ -93,7 +93,7 @@
         this.network = network;
         this.mostConnections = mostConnections;
         this.door = door;
-        listener = AsynchronousServerSocketChannel.open(network.group()).bind(listen, BACKLOG);
+        listener = network.channels().listen(listen, BACKLOG);
     }
 
     /** Those of a loop without a listener: they come from one that has. */
--- a/gateway/src/main/java/shelffront/hosted/Lanes.java
+++ b/gateway/src/main/java/shelffront/hosted/Lanes.java
@@ -71,7 +71,8 @@
             Counters counters = new Counters();
             TurnLoop loop = new TurnLoop(() -> ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()), counters);
             Network network = Network.open(loop, buffers, counters, log);
-            Tenants tenants = new Tenants(network, new Shares(shares, i, loop.now()), hostSockets, seed + (long) i << 20);
+            Tenants tenants = new Tenants(network, new Shares(shares, i, loop.now()), hostSockets,
+                    seed + ((long) i << 20));
             lanes.add(new Lane(network, tenants));
         }
         Network first = lanes.get(0).network();
@@ -113,8 +114,8 @@
         for (Thread thread : threads) {
             thread.join();
         }
-        lanes.forEach(l -> l.network().group().shutdown());
-        front.group().shutdown();
+        lanes.forEach(l -> l.network().channels().shutdown());
+        front.channels().shutdown();
     }
 
     private TurnLoop loop(int lane) {
--- a/gateway/src/main/java/shelffront/net/Network.java
+++ b/gateway/src/main/java/shelffront/net/Network.java
@@ -1,20 +1,23 @@
 package shelffront.net;
 
 import java.io.IOException;
-import java.nio.channels.AsynchronousChannelGroup;
 import java.nio.channels.AsynchronousSocketChannel;
 import shelffront.share.Rounds.Flow;
 
 /**
- * What connections share: the turn loop, the channel group, the memory budget, counters and the log. Each tenant has
- * its own view, whose flow takes turns with those of the others; the tenant is empty where there is only one.
+ * What connections share: the turn loop, the source of channels, the memory budget, counters and the log. Each tenant
+ * has its own view, whose flow takes turns with those of the others; the tenant is empty where there is only one.
  */
-public record Network(TurnLoop loop, AsynchronousChannelGroup group, Budget budget, Counters counters, Log log,
+public record Network(TurnLoop loop, Channels channels, Budget budget, Counters counters, Log log,
         Flow<Runnable> flow, String tenant) {
 
-    /** One thread runs all completion handlers; they do nothing but post to the loop. */
+    /** On the machine's sockets. */
     public static Network open(TurnLoop loop, Budget budget, Counters counters, Log log) throws IOException {
-        return new Network(loop, group(1), budget, counters, log, loop.common(), "");
+        return open(loop, Channels.sockets(1), budget, counters, log);
+    }
+
+    public static Network open(TurnLoop loop, Channels channels, Budget budget, Counters counters, Log log) {
+        return new Network(loop, channels, budget, counters, log, loop.common(), "");
     }
 
     /**
@@ -22,20 +25,12 @@
      * connections that need not see a write's completion before the answer to it.
      */
     public Network withThreads(int threads) throws IOException {
-        return new Network(loop, group(threads), budget, counters, log, flow, tenant);
-    }
-
-    private static AsynchronousChannelGroup group(int threads) throws IOException {
-        return AsynchronousChannelGroup.withFixedThreadPool(threads, task -> {
-            Thread thread = new Thread(task, "completions");
-            thread.setDaemon(true);
-            return thread;
-        });
+        return new Network(loop, Channels.sockets(threads), budget, counters, log, flow, tenant);
     }
 
     /** A tenant's view: its own flow, budget and counters, which count in the common ones too. */
     public Network of(String id, Flow<Runnable> own, long bufferBytes) {
-        return new Network(loop, group, new Budget(budget, bufferBytes), new Counters(counters), log, own, id);
+        return new Network(loop, channels, new Budget(budget, bufferBytes), new Counters(counters), log, own, id);
     }
 
     /** Hands a result to the turn thread, in this view's flow. Any thread may call it. */
@@ -44,6 +39,6 @@
     }
 
     public AsynchronousSocketChannel newChannel() throws IOException {
-        return AsynchronousSocketChannel.open(group);
+        return channels.open();
     }
 }
--- a/gateway/src/main/java/shelffront/net/TurnLoop.java
+++ b/gateway/src/main/java/shelffront/net/TurnLoop.java
@@ -111,29 +111,52 @@
 
     public void run() throws InterruptedException {
         while (!stopped) {
-            sort(rounds.isEmpty() ? results.poll(untilNextDeadline(), TimeUnit.MICROSECONDS) : results.poll());
-            tick();
-            long began = now;
-            Runnable result = rounds.next();
-            for (int i = 0; result != null; i++) {
-                long from = now;
-                guarded(result);
-                tick();
-                rounds.charge(now - from);
-                sort(results.poll());
-                result = i < RESULTS_A_TURN ? rounds.next() : null;
-            }
-            while (!deadlines.isEmpty() && deadlines.first().at <= now) {
-                guarded(deadlines.pollFirst().task);
-            }
-            while (!toFlush.isEmpty()) {
-                Connection connection = toFlush.iterator().next();
-                toFlush.remove(connection);
-                guarded(connection::flush);
-            }
+            turn(rounds.isEmpty() ? results.poll(untilNextDeadline(), TimeUnit.MICROSECONDS) : results.poll());
+        }
+    }
+
+    /** Takes a turn with what is there, without waiting: for whoever keeps the time himself. */
+    public void turn() {
+        turn(results.poll());
+    }
+
+    /** Whether a turn now would have anything to do; false once it is stopped. */
+    public boolean isReady() {
+        return !stopped && (!rounds.isEmpty() || !results.isEmpty() || untilNextDeadline() == 0);
+    }
+
+    public boolean isStopped() {
+        return stopped;
+    }
+
+    /** When the next deadline is due; {@link Long#MAX_VALUE} if there is none. */
+    public long nextDeadline() {
+        return deadlines.isEmpty() ? Long.MAX_VALUE : deadlines.first().at;
+    }
+
+    private void turn(Result first) {
+        sort(first);
+        tick();
+        long began = now;
+        Runnable result = rounds.next();
+        for (int i = 0; result != null; i++) {
+            long from = now;
+            guarded(result);
             tick();
-            worked += now - began;
+            rounds.charge(now - from);
+            sort(results.poll());
+            result = i < RESULTS_A_TURN ? rounds.next() : null;
+        }
+        while (!deadlines.isEmpty() && deadlines.first().at <= now) {
+            guarded(deadlines.pollFirst().task);
         }
+        while (!toFlush.isEmpty()) {
+            Connection connection = toFlush.iterator().next();
+            toFlush.remove(connection);
+            guarded(connection::flush);
+        }
+        tick();
+        worked += now - began;
     }
 
     /** Microseconds that it has worked and not waited, as of its last turn. Any thread may ask. */
--- a/gateway/src/main/java/shelffront/server/Servers.java
+++ b/gateway/src/main/java/shelffront/server/Servers.java
@@ -5,7 +5,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.AsynchronousSocketChannel;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -45,7 +45,8 @@
     final Login login;
     private final Listener listener;
     private final Map<String, Host> hosts = new TreeMap<>();
-    private final Map<Attempt, Errand> errands = new HashMap<>();
+    /** In the order of their begin, so that closing all goes the same way each time. */
+    private final Map<Attempt, Errand> errands = new LinkedHashMap<>();
     private boolean owes;             // another tenant waits for a socket, and none of these was idle
 
     /** Each connection takes one of the sockets, divided by weight and bounded, while it is open. */
--- a/gateway/src/test/java/shelffront/tenant/TenantSleepTest.java
+++ b/gateway/src/test/java/shelffront/tenant/TenantSleepTest.java
@@ -94,7 +94,7 @@
     void stop() throws Exception {
         loop.post(loop::stop);
         turns.join(10_000);
-        network.group().shutdownNow();
+        network.channels().shutdown();
     }
 
     /** Runs in a turn, after all that was due before it; gives the deadlines that are set then. */
--- a/lab/src/main/java/shelffront/lab/LabMain.java
+++ b/lab/src/main/java/shelffront/lab/LabMain.java
@@ -17,7 +17,7 @@
 /** The lab's commands. */
 @Command(name = "shelffront-lab", mixinStandardHelpOptions = true,
         description = "Plays load and faults against shelffront on stand-in boxes of its own.",
-        subcommands = {LabMain.Run.class, Demo.class, Scale.class})
+        subcommands = {LabMain.Run.class, Explore.class, Explore.Replay.class, Demo.class, Scale.class})
 public final class LabMain {
 
     private LabMain() { }
--- /dev/null
+++ b/lab/src/main/java/shelffront/lab/virtual/VirtualNet.java
@@ -0,0 +1,137 @@
+package shelffront.lab.virtual;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import org.apache.commons.rng.UniformRandomProvider;
+import shelffront.lab.model.Clock;
+
+/** A network in memory, in virtual time: who listens where, and how long what is sent takes. All by one seed. */
+public final class VirtualNet {
+
+    /**
+     * How it behaves. Times are microseconds.
+     *
+     * @param latency one way, at least
+     * @param jitter the most that is added, drawn evenly
+     * @param chop the part of writes that arrive in several pieces, each later than the one before
+     */
+    public record Weather(long latency, long jitter, double chop) { }
+
+    private final Clock clock;
+    private final UniformRandomProvider random;
+    private final Map<InetSocketAddress, Listening> listeners = new HashMap<>();
+    private Weather weather;
+    private int nextPort = 20_000;
+
+    private record Listening(Machine machine, Function<End, End.Owner> accept) { }
+
+    public VirtualNet(Clock clock, UniformRandomProvider random, Weather weather) {
+        this.clock = clock;
+        this.random = random;
+        this.weather = weather;
+    }
+
+    public void weather(Weather next) {
+        weather = next;
+    }
+
+    public Clock clock() {
+        return clock;
+    }
+
+    public Machine machine(String name) {
+        return new Machine(name);
+    }
+
+    /** An address that nobody else has. */
+    public InetSocketAddress newAddress() {
+        return new InetSocketAddress("127.0.0.1", nextPort++);
+    }
+
+    /** Takes connections; each new end is given the owner that the function returns, null refuses. */
+    public void listen(Machine machine, InetSocketAddress at, Function<End, End.Owner> accept) {
+        listeners.put(at, new Listening(machine, accept));
+    }
+
+    public void unlisten(InetSocketAddress at) {
+        listeners.remove(at);
+    }
+
+    /** Sets up a connection; the owner is told how it went, or nothing where a machine is away. */
+    public End connect(Machine from, InetSocketAddress to, End.Owner owner) {
+        End end = new End(this, from, owner);
+        from.ends.add(end);
+        clock.after(delay(), () -> {
+            Listening there = listeners.get(to);
+            if (from.isAway() || there != null && there.machine().isAway()) {
+                return;
+            }
+            End far = there == null ? null : new End(this, there.machine(), null);
+            End.Owner taker = far == null ? null : there.accept().apply(far);
+            if (taker == null) {
+                clock.after(delay(), () -> {
+                    if (!end.isOver()) {
+                        end.close();
+                        owner.refused();
+                    }
+                });
+                return;
+            }
+            far.owner = taker;
+            far.other = end;
+            there.machine().ends.add(far);
+            clock.after(delay(), () -> {
+                if (from.isAway()) {
+                    return;
+                }
+                if (end.isOver()) {              // given up meanwhile
+                    far.abandoned();
+                    return;
+                }
+                end.other = far;
+                owner.connected();
+            });
+        });
+        return end;
+    }
+
+    private long delay() {
+        return weather.latency() + (weather.jitter() > 0 ? random.nextLong(weather.jitter()) : 0);
+    }
+
+    /** Has something arrive at an end, in order behind what was sent to it before, unless a machine is away. */
+    void deliver(End from, End to, Runnable arrival) {
+        to.lastArrival = Math.max(to.lastArrival, clock.now() + delay());
+        clock.at(to.lastArrival, () -> {
+            if (!from.machine.isAway() && !to.machine.isAway()) {
+                arrival.run();
+            }
+        });
+    }
+
+    /** Bytes as they arrive: in one piece, or cut anywhere. */
+    List<byte[]> pieces(byte[] bytes) {
+        if (bytes.length < 2 || weather.chop() == 0 || random.nextDouble() >= weather.chop()) {
+            return List.of(bytes);
+        }
+        List<byte[]> pieces = new ArrayList<>();
+        int from = 0;
+        while (from < bytes.length) {
+            int to = Math.min(bytes.length, from + 1 + random.nextInt(Math.max(1, bytes.length - from)));
+            byte[] piece = new byte[to - from];
+            System.arraycopy(bytes, from, piece, 0, piece.length);
+            pieces.add(piece);
+            from = to;
+        }
+        return pieces;
+    }
+
+    /** How much of what is there a read or a write takes at a time: all of it, or some where things are cut. */
+    int some(int all) {
+        return all < 2 || weather.chop() == 0 || random.nextDouble() >= weather.chop() ? all : 1 + random.nextInt(all);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/shelffront/lab/world/Catalogue.java
@@ -0,0 +1,147 @@
+package shelffront.lab.world;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import shelffront.lab.virtual.End;
+import shelffront.lab.virtual.Machine;
+import shelffront.lab.virtual.Talker;
+import shelffront.tenant.SpecJson;
+
+/** The list of boxes, late, over HTTP with watches: discovery as the platform's gateways know it. */
+final class Catalogue {
+
+    private static final long PING = 2_000_000;
+
+    /** A line of the list as it is told. */
+    record Line(String id, String address, int cell, String phase, long startedMs, boolean writer) { }
+
+    private final Fleet fleet;
+    private final InetSocketAddress address;
+    private final Map<String, Line> lines = new LinkedHashMap<>();
+    private final TreeMap<Long, Line> changes = new TreeMap<>();
+    private final List<Call> watches = new ArrayList<>();
+    private long revision = 1;
+    private boolean down;
+
+    Catalogue(Fleet fleet, Machine machine, InetSocketAddress address) {
+        this.fleet = fleet;
+        this.address = address;
+        fleet.net().listen(machine, address, end -> down ? null : new Call(end));
+        fleet.clock().after(PING, this::ping);
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** A line as it is from now on; told after the list's delay. */
+    void change(Line line, long delay) {
+        fleet.clock().after(delay, () -> {
+            revision++;
+            if (line.phase().equals("Gone")) {
+                lines.remove(line.id());
+            } else {
+                lines.put(line.id(), line);
+            }
+            changes.put(revision, line);
+            for (Call watch : List.copyOf(watches)) {
+                watch.tell(List.of(line), false);
+            }
+        });
+    }
+
+    /** All watches break at once. */
+    void breakWatches() {
+        List.copyOf(watches).forEach(Talker::reset);
+        watches.clear();
+    }
+
+    void down(boolean on) {
+        down = on;
+        if (on) {
+            breakWatches();
+        }
+    }
+
+    private void ping() {
+        List.copyOf(watches).forEach(w -> w.chunk("\n"));
+        fleet.clock().after(PING, this::ping);
+    }
+
+    ObjectNode json(List<Line> some, boolean complete) {
+        ObjectNode list = SpecJson.JSON.createObjectNode().put("revision", revision).put("complete", complete);
+        ArrayNode members = list.putArray("members");
+        for (Line l : some) {
+            members.addObject().put("id", l.id()).put("host_port", l.address()).put("locality", "a")
+                    .put("flavor", "x").put("cell", l.cell()).put("phase", l.phase()).put("size", 1.0)
+                    .put("up_since_ms", l.startedMs()).put("access", l.writer() ? "writer" : "reader");
+        }
+        return list;
+    }
+
+    ObjectNode whole() {
+        return json(List.copyOf(lines.values()), true);
+    }
+
+    private final class Call extends Talker {
+
+        Call(End end) {
+            on(end);
+        }
+
+        @Override
+        protected void received(ByteBuffer bytes) {
+            byte[] all = new byte[bytes.remaining()];
+            bytes.duplicate().get(all);
+            String text = new String(all, US_ASCII);
+            if (!text.endsWith("\r\n\r\n")) {
+                return;
+            }
+            bytes.position(bytes.limit());
+            int from = text.indexOf("from=");
+            if (from < 0) {
+                byte[] body = whole().toString().getBytes(US_ASCII);
+                send(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(US_ASCII));
+                send(body);
+                tells(List.copyOf(lines.values()), true);
+                close();
+                return;
+            }
+            send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(US_ASCII));
+            long known = Long.parseLong(text.substring(from + 5, text.indexOf(' ', from)));
+            watches.add(this);
+            if (known == 0 || known > revision) {
+                tell(List.copyOf(lines.values()), true);
+            } else {
+                tell(List.copyOf(changes.tailMap(known, false).values()), false);
+            }
+        }
+
+        void tell(List<Line> some, boolean complete) {
+            chunk(json(some, complete) + "\n");
+            tells(some, complete);
+        }
+
+        private void tells(List<Line> some, boolean complete) {
+            fleet.told(end.other().machine(), some, complete);
+        }
+
+        void chunk(String text) {
+            send((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(US_ASCII));
+        }
+
+        @Override
+        protected void ended(boolean reset) {
+            watches.remove(this);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/shelffront/lab/world/Crowd.java
@@ -0,0 +1,160 @@
+package shelffront.lab.world;
+
+import java.net.InetSocketAddress;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import shelffront.lab.audit.Auditor.Asked;
+import shelffront.lab.virtual.Machine;
+import shelffront.route.Router.ClassSettings;
+import shelffront.route.Router.Read;
+
+/** The clients of one gateway: requests that come when they are due, whatever became of those before. */
+final class Crowd {
+
+    private static final int SESSIONS = 200;
+    private static final int MOST_CONNECTIONS = 150;
+    private static final int MOST_RETRIES = 2;
+    private static final long PATIENCE = 100_000;   // Beyond its time a client looks whether an answer comes late.
+
+    private final Fleet fleet;
+    private final int gateway;
+    private final Machine machine;
+    private final UniformRandomProvider random;
+    private final ZigguratSampler.Exponential gaps;
+    private final double perSecond;
+    private final long until;
+    private final Set<ClientTalker> connections = new LinkedHashSet<>();
+    private double factor = 1;
+    private long asked;
+
+    Crowd(Fleet fleet, int gateway, Machine machine, UniformRandomProvider random, double perSecond, long until) {
+        this.fleet = fleet;
+        this.gateway = gateway;
+        this.machine = machine;
+        this.random = random;
+        this.perSecond = perSecond;
+        this.until = until;
+        gaps = ZigguratSampler.Exponential.of(random);
+        arrive();
+    }
+
+    Machine machine() {
+        return machine;
+    }
+
+    InetSocketAddress gatewayAddress() {
+        return fleet.gatewayAddress(gateway);
+    }
+
+    /** So many times as many requests as usual. */
+    void factor(double times) {
+        factor = times;
+    }
+
+    private void arrive() {
+        long gap = Math.max(1, (long) (gaps.sample() * 1e6 / (perSecond * factor)));
+        fleet.clock().after(gap, () -> {
+            if (fleet.clock().now() < until) {
+                request();
+                arrive();
+            }
+        });
+    }
+
+    private void request() {
+        List<ClassSettings> types = fleet.types();
+        double lot = random.nextDouble();
+        ClassSettings type = lot < 0.25 ? types.get(3) : lot < 0.55 ? types.get(0) : lot < 0.8 ? types.get(1)
+                : lot < 0.95 ? types.get(2) : types.get(types.size() - 1);
+        // Some sessions are busy, most are not.
+        int session = (int) (SESSIONS * Math.pow(random.nextDouble(), 3));
+        ask(type, 1 + random.nextInt(fleet.scenario().sets()), "g" + gateway + "s" + session, 0);
+    }
+
+    private void ask(ClassSettings type, int set, String session, int retries) {
+        if (fleet.clock().now() >= until) {
+            return;
+        }
+        ClientTalker connection = connections.stream().filter(ClientTalker::isFree).findFirst().orElse(null);
+        if (connection == null && !fleet.takesConnections(gateway)) {
+            return;                          // the front sends nobody there any more
+        }
+        if (connection == null && connections.size() >= MOST_CONNECTIONS) {
+            fleet.notAsked(type);
+            return;
+        }
+        if (connection == null) {
+            connection = new ClientTalker(fleet, this);
+            connections.add(connection);
+        }
+        long now = fleet.clock().now();
+        String id = "g" + gateway + "r" + asked++;
+        String key = type.writes() ? "k" + id : null;
+        Asked a = fleet.auditor().asks(id, type, key, set + "/" + session, gateway, now, now + type.deadline());
+        fleet.asked(a, retries);
+        connection.ask(a, ClientTalker.statement(id, type.name(), type.deadline() / 1000, key, set,
+                set + "/" + session, type.writes()), now + type.deadline() + PATIENCE);
+    }
+
+    private static int set(Asked a) {
+        return Integer.parseInt(a.session.substring(0, a.session.indexOf('/')));
+    }
+
+    private static String session(Asked a) {
+        return a.session.substring(a.session.indexOf('/') + 1);
+    }
+
+    /** A read of one's own write comes soon behind it; what was refused is asked again when it was told to. */
+    void answered(Asked a, String error, long retryAfter) {
+        if (error == null && a.type.writes() && random.nextDouble() < 0.6) {
+            ClassSettings own = fleet.types().stream().filter(t -> t.read() == Read.SESSION).findFirst().orElseThrow();
+            fleet.clock().after(5_000 + random.nextInt(100_000), () -> ask(own, set(a), session(a), MOST_RETRIES));
+        } else if ("53300".equals(error)) {
+            int tried = fleet.retries(a);
+            if (tried < MOST_RETRIES) {
+                fleet.clock().after(Math.max(50_000, retryAfter),
+                        () -> ask(a.type, set(a), session(a), tried + 1));
+            }
+        }
+    }
+
+    /** The connection has ended with a request open. */
+    void lost(Asked a, boolean reset) {
+        fleet.lost(a, reset);
+    }
+
+    void left(ClientTalker connection) {
+        connections.remove(connection);
+    }
+
+    /** A part of those who wait hang up. */
+    void hangUp() {
+        for (ClientTalker c : List.copyOf(connections)) {
+            if (!c.isFree() && random.nextInt(3) == 0) {
+                c.hangUp();
+            }
+        }
+    }
+
+    /** A part of them read nothing for a while. */
+    void stall(long time) {
+        for (ClientTalker c : List.copyOf(connections)) {
+            if (random.nextInt(3) == 0) {
+                c.stall(true);
+                fleet.stalled(c, time);
+            }
+        }
+    }
+
+    /** Ends what is open once nothing more is asked. */
+    void end() {
+        for (ClientTalker c : List.copyOf(connections)) {
+            c.asksNothing();
+            c.close();
+        }
+        connections.clear();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/shelffront/lab/world/Fleet.java
@@ -0,0 +1,724 @@
+package shelffront.lab.world;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import shelffront.config.GatewayConfig;
+import shelffront.config.Json;
+import shelffront.config.MalformedInputException;
+import shelffront.config.MemberList;
+import shelffront.gateway.Gateway;
+import shelffront.lab.audit.Auditor;
+import shelffront.lab.audit.Auditor.Asked;
+import shelffront.lab.audit.Auditor.Rule;
+import shelffront.lab.model.Clock;
+import shelffront.lab.model.DatabaseSet;
+import shelffront.lab.model.DatabaseSet.Box;
+import shelffront.lab.model.DatabaseSet.Effect;
+import shelffront.lab.model.DatabaseSet.Query;
+import shelffront.lab.model.Figures;
+import shelffront.lab.virtual.End;
+import shelffront.lab.virtual.Machine;
+import shelffront.lab.virtual.Scheduler;
+import shelffront.lab.virtual.VirtualChannels;
+import shelffront.lab.virtual.VirtualNet;
+import shelffront.lab.world.Scenario.Fault;
+import shelffront.net.Budget;
+import shelffront.net.Counters;
+import shelffront.net.Network;
+import shelffront.net.TurnLoop;
+import shelffront.route.Router;
+import shelffront.route.Router.ClassSettings;
+import shelffront.route.Router.LagCheck;
+import shelffront.route.Router.Limits;
+import shelffront.route.Router.ListRole;
+import shelffront.route.Router.Read;
+import shelffront.route.Router.ReportSource;
+import shelffront.route.Router.Rules;
+import shelffront.route.Router.Scope;
+import shelffront.route.Router.Settings;
+
+/**
+ * A fleet of gateways with their sets, clients and list of boxes, in virtual time: the gateways are the program's own
+ * classes on channels that exist in memory. One thread; the same scenario gives the same run to the byte.
+ */
+public final class Fleet {
+
+    /** Unix microseconds at the start: any time, but the same each run. */
+    private static final long START = 1_800_000_000_000_000L;
+    private static final long LAST_DEADLINE = 3_500_000;
+    private static final long LAST_ARRIVALS = 400_000;
+    /** What a box tells of its role counts as known so long after it was written. */
+    private static final long KNOWN_AFTER = 100_000;
+    private static final long DRAIN_TIME = 8_000_000;
+    private static final int SOCKETS = 1024;
+    private static final long BUFFERS = 32L << 20;
+
+    /** What a class came to. */
+    public record Worth(long asked, long onTime, long late, long refused, long failed, long unanswered) { }
+
+    /** How a run ended: broken rules, what classes came to, its size, and a hash over all that happened. */
+    public record Result(List<Auditor.Violation> violations, int violationCount, Map<String, Worth> worth,
+            double worthKept, long events, long requests, String hash) { }
+
+    /** A gateway's process. */
+    private final class Process {
+
+        private final int index;
+        private final Machine machine;
+        private final VirtualChannels channels;
+        private final TurnLoop loop;
+        private final Network network;
+        private final Counters counters = new Counters();
+        private final Gateway gateway;
+        private long skew;
+        private long pausedUntil;
+        private boolean dead;
+        private boolean stopping;
+        private long stopAt;
+
+        private Process(int index, Machine machine) {
+            this.index = index;
+            this.machine = machine;
+            channels = new VirtualChannels(net, machine, SOCKETS);
+            loop = new TurnLoop(() -> scheduler.now() + skew, counters);
+            network = Network.open(loop, channels, new Budget(BUFFERS), counters,
+                    line -> traced("log", "g" + index, String.valueOf(line), ""));
+            try {
+                MemberList known = MemberList.read(Json.object(catalogue.whole().toString()));
+                GatewayConfig config = new GatewayConfig("n" + index, gatewayAddresses.get(index),
+                        catalogue.address(), random.nextLong(), SOCKETS, 20_000, settings(index), known);
+                gateway = variant.apply(new Start(network, config, channels));
+            } catch (MalformedInputException e) {
+                throw new IllegalStateException("the catalogue gives what the gateway can't read", e);
+            }
+            network.loop().post(gateway::start);
+        }
+
+        private long nextTurn() {
+            if (dead || loop.isStopped()) {
+                return Long.MAX_VALUE;
+            }
+            long due = loop.isReady() ? 0 : loop.nextDeadline() - skew;
+            return Math.max(due, pausedUntil);
+        }
+    }
+
+    /** What a gateway is made of, for those who put a changed one in its place. */
+    public record Start(Network network, GatewayConfig config, VirtualChannels channels) {
+
+        /** The gateway as it is. */
+        public Gateway asItIs() {
+            return with(config);
+        }
+
+        /** The gateway, told something else. */
+        public Gateway with(GatewayConfig config) {
+            try {
+                return new Gateway(network, config);
+            } catch (IOException e) {
+                throw new IllegalStateException("the virtual network takes every listener", e);
+            }
+        }
+    }
+
+    private final Scenario scenario;
+    private final Function<Start, Gateway> variant;
+    private final UniformRandomProvider random;
+    private final Scheduler scheduler = new Scheduler(START);
+    private final VirtualNet net;
+    private final Auditor auditor = new Auditor();
+    private final Catalogue catalogue;
+    private final List<DatabaseSet> sets = new ArrayList<>();
+    private final Map<String, Box> boxes = new TreeMap<>();
+    private final Map<String, Machine> boxMachines = new HashMap<>();
+    private final Map<String, InetSocketAddress> boxAddresses = new HashMap<>();
+    private final Map<String, Integer> cells = new HashMap<>();
+    private final Map<String, Long> spoiling = new HashMap<>();
+    private final List<InetSocketAddress> gatewayAddresses = new ArrayList<>();
+    private final List<Process> processes = new ArrayList<>();
+    private final Map<Machine, Integer> gatewayMachines = new HashMap<>();
+    private final List<Crowd> crowds = new ArrayList<>();
+    private final List<ClassSettings> types;
+    private final Map<String, Integer> retries = new HashMap<>();
+    private final Map<String, Auditor.Try> begun = new HashMap<>();
+    private final Map<String, long[]> worth = new TreeMap<>();
+    private final Set<Integer> disturbed = new HashSet<>();
+    /** Former primaries, and when each gateway was shown by the box itself: before that no rule binds a read there. */
+    private final Map<String, Long> shownAt = new HashMap<>();
+    private final MessageDigest hash;
+    private final Consumer<String> trace;
+    private long requests;
+    private int newBoxes;
+    private boolean ending;
+
+    private Fleet(Scenario scenario, Function<Start, Gateway> variant, Consumer<String> trace) {
+        this.scenario = scenario;
+        this.variant = variant;
+        this.trace = trace;
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(scenario.seed() * 31 + 7);
+        net = new VirtualNet(scheduler, fork(), scenario.weather());
+        types = types(scenario.onceWrites());
+        try {
+            hash = MessageDigest.getInstance("SHA-256");
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform has SHA-256", e);
+        }
+        catalogue = new Catalogue(this, net.machine("catalogue"), net.newAddress());
+        for (int s = 1; s <= scenario.sets(); s++) {
+            DatabaseSet set = new DatabaseSet("s" + s, scenario.boxes(), scheduler, fork(), scenario.figures(),
+                    new SetWitness());
+            sets.add(set);
+            for (Box box : set.boxes()) {
+                stand(box, s);
+                catalogue.change(line(box, "Ready"), 0);
+            }
+        }
+        for (int g = 0; g < scenario.gateways(); g++) {
+            gatewayAddresses.add(net.newAddress());
+        }
+    }
+
+    private UniformRandomProvider fork() {
+        return RandomSource.XO_RO_SHI_RO_128_PP.create(random.nextLong());
+    }
+
+    /** Plays a scenario on the gateway as it is. */
+    public static Result play(Scenario scenario) {
+        return play(scenario, Start::asItIs, line -> { });
+    }
+
+    /** Plays a scenario on a gateway that may be a changed one, and tells what happens line by line. */
+    public static Result play(Scenario scenario, Function<Start, Gateway> variant, Consumer<String> trace) {
+        return new Fleet(scenario, variant, trace).run();
+    }
+
+    static List<ClassSettings> types(boolean once) {
+        long ms = 1000;
+        List<ClassSettings> types = new ArrayList<>(List.of(
+                type("map-read", 500 * ms, 1200 * ms, 2, Read.BOUNDED, 500 * ms),
+                type("own-edit-read", 700 * ms, 2000 * ms, 3, Read.SESSION, 0),
+                type("live-read", 500 * ms, 1500 * ms, 1, Read.FRESH, 0),
+                new ClassSettings("map-write", 1200 * ms, 3000 * ms, 6, 0.7, Router.Effect.KEYED,
+                        Scope.GROUP, 2000 * ms, Read.WRITE, 0)));
+        if (once) {
+            types.add(new ClassSettings("once-write", 1200 * ms, 3000 * ms, 6, 0.7,
+                    Router.Effect.ONCE, Scope.GROUP, 0, Read.WRITE, 0));
+        }
+        return types;
+    }
+
+    private static ClassSettings type(String name, long aim, long giveUp, double worth, Read read, long bound) {
+        return new ClassSettings(name, aim, giveUp, worth, 0, Router.Effect.REPEATABLE, Scope.GROUP,
+                0, read, bound);
+    }
+
+    private Settings settings(int self) {
+        Figures f = scenario.figures();
+        LagCheck check = switch (f.check()) {
+            case SILENT -> LagCheck.NONE;
+            case REFUSE -> LagCheck.REFUSE;
+            case WAIT -> LagCheck.WAIT;
+        };
+        return new Settings(self, scenario.gateways(), "a", 1000, types, check, f.patience(), false, false,
+                ListRole.LATE, true, ReportSource.PROBES, new Rules(2_000_000, f.coldFrom(), f.coldTime(), f.fall(),
+                f.fallTime(), false, 10_000_000, 20_000),
+                new Limits(8, 2_000_000, true, true, false, true, false, 250_000, 30_000_000), 0, 0.01);
+    }
+
+    // ---- The run ----------------------------------------------------------------------------------------------
+
+    private Result run() {
+        long from = START + 300_000;
+        until(from);                             // the list is there
+        for (int g = 0; g < scenario.gateways(); g++) {
+            Machine machine = net.machine("g" + g);
+            gatewayMachines.put(machine, g);
+            processes.add(new Process(g, machine));
+        }
+        until(from + 300_000);
+        long begin = scheduler.now();
+        for (int g = 0; g < scenario.gateways(); g++) {
+            crowds.add(new Crowd(this, g, net.machine("c" + g), fork(), scenario.perSecond() / scenario.gateways(),
+                    begin + scenario.length()));
+        }
+        for (Fault fault : scenario.faults()) {
+            if (fault.at() < scenario.length()) {
+                scheduler.at(begin + fault.at(), () -> strike(fault));
+            }
+        }
+        until(begin + scenario.length() + LAST_DEADLINE);
+        crowds.forEach(Crowd::end);
+        until(scheduler.now() + 200_000);
+        ending = true;
+        for (Process p : List.copyOf(processes)) {
+            if (!p.dead && !p.stopping) {
+                p.stopping = true;
+                p.loop.post(p.gateway::drain);
+            }
+        }
+        until(scheduler.now() + DRAIN_TIME);
+        processes.forEach(this::nothingLeft);
+        for (Asked a : auditor.asked()) {
+            if (!a.isAnswered()) {
+                auditor.unanswered(a, scheduler.now(), "was never answered");
+            }
+        }
+        return result();
+    }
+
+    private void nothingLeft(Process p) {
+        if (p.counters.get(Counters.Name.FAULTS) > 0) {
+            auditor.violated(scheduler.now(), Rule.NO_FAULT, "gateway " + p.index + " had a fault");
+        }
+        if (p.dead) {
+            return;
+        }
+        if (!p.loop.isStopped() || p.channels.openNow() > 0 || p.network.budget().held() != 0) {
+            auditor.violated(scheduler.now(), Rule.NOTHING_LEFT, "gateway " + p.index + (p.loop.isStopped() ? ""
+                    : " did not stop") + ": " + p.channels.openNow() + " channels, " + p.network.budget().held()
+                    + " bytes held");
+        }
+    }
+
+    /** Lets time pass: events in their order, and turns of the gateways whenever one has something to do. */
+    private void until(long end) {
+        while (true) {
+            boolean turned = false;
+            for (Process p : processes) {
+                if (p.nextTurn() <= scheduler.now()) {
+                    p.loop.turn();
+                    turned = true;
+                }
+            }
+            if (turned || scheduler.step()) {
+                continue;
+            }
+            long next = scheduler.next();
+            for (Process p : processes) {
+                next = Math.min(next, p.nextTurn());
+            }
+            if (next > end) {
+                scheduler.advance(end);
+                return;
+            }
+            scheduler.advance(next);
+        }
+    }
+
+    // ---- Faults -----------------------------------------------------------------------------------------------
+
+    private Box box(int target) {
+        List<Box> all = List.copyOf(boxes.values());
+        return all.get(target % all.size());
+    }
+
+    private Process process(int target) {
+        return processes.get(target % processes.size());
+    }
+
+    private DatabaseSet setOf(Box box) {
+        return sets.get(cells.get(box.id()) - 1);
+    }
+
+    private void strike(Fault fault) {
+        traced("fault", fault.toString(), "", "");
+        Box primary = sets.get(fault.target() % sets.size()).primary();
+        switch (fault.kind()) {
+            case KILL_BOX -> kill(box(fault.target()), fault.time());
+            case KILL_PRIMARY -> {
+                if (primary != null) {
+                    kill(primary, fault.time());
+                }
+            }
+            case DRAIN_BOX -> drain(box(fault.target()), fault.time());
+            case DRAIN_PRIMARY -> {
+                if (primary != null) {
+                    drain(primary, fault.time());
+                }
+            }
+            case VANISH_BOX -> {
+                Machine machine = boxMachines.get(box(fault.target()).id());
+                machine.vanish();
+                scheduler.after(fault.time(), machine::comeBack);
+            }
+            case SLOW_BOX -> box(fault.target()).slow(2 + fault.target() % 20, fault.time());
+            case SPOIL_BOX -> spoiling.put(box(fault.target()).id(), scheduler.now() + fault.time());
+            case RESET_BOX -> boxMachines.get(box(fault.target()).id()).resetAll();
+            case BAD_NETWORK -> {
+                VirtualNet.Weather w = scenario.weather();
+                net.weather(new VirtualNet.Weather(w.latency() * 3, w.jitter() + 10_000, 0.9));
+                scheduler.after(fault.time(), () -> net.weather(w));
+            }
+            case BREAK_WATCHES -> catalogue.breakWatches();
+            case DISCOVERY_DOWN -> {
+                catalogue.down(true);
+                scheduler.after(fault.time(), () -> catalogue.down(false));
+            }
+            case KILL_GATEWAY -> killGateway(process(fault.target()), fault.time());
+            case STOP_GATEWAY -> stopGateway(process(fault.target()));
+            case PAUSE_GATEWAY -> {
+                Process p = process(fault.target());
+                p.pausedUntil = scheduler.now() + Math.min(400_000, fault.time());
+                disturb(p.index, Math.min(400_000, fault.time()));
+            }
+            case STEP_CLOCK -> {
+                Process p = process(fault.target());
+                p.skew += fault.target() % 2 == 0 ? -20_000 : 20_000;
+                disturb(p.index, LAST_DEADLINE);
+            }
+            case BURST -> {
+                Crowd crowd = crowds.get(fault.target() % crowds.size());
+                crowd.factor(6);
+                scheduler.after(Math.min(1_000_000, fault.time()), () -> crowd.factor(1));
+            }
+            case HANG_UPS -> crowds.get(fault.target() % crowds.size()).hangUp();
+            case STALL_READERS -> crowds.get(fault.target() % crowds.size()).stall(Math.min(2_000_000, fault.time()));
+            default -> throw new IllegalStateException(fault.kind().name());
+        }
+    }
+
+    /** What clients of this gateway have open is late by no fault of its own. */
+    private void disturb(int gateway, long time) {
+        disturbed.add(gateway);
+        excuseAll(gateway);
+        scheduler.after(time, () -> {
+            excuseAll(gateway);
+            disturbed.remove(gateway);
+        });
+    }
+
+    private void excuseAll(int gateway) {
+        for (Asked a : auditor.asked()) {
+            if (a.gateway == gateway && !a.isAnswered()) {
+                auditor.excuse(a);
+            }
+        }
+    }
+
+    private void stand(Box box, int cell) {
+        Machine machine = net.machine(box.id());
+        boxes.put(box.id(), box);
+        cells.put(box.id(), cell);
+        boxMachines.put(box.id(), machine);
+        boxAddresses.put(box.id(), net.newAddress());
+        listen(box);
+    }
+
+    private void listen(Box box) {
+        Machine machine = boxMachines.get(box.id());
+        net.listen(machine, boxAddresses.get(box.id()), end -> !box.isUp()
+                || machine.connections() >= scenario.figures().connections() ? null : new HostTalker(this, box, end));
+    }
+
+    private Catalogue.Line line(Box box, String phase) {
+        InetSocketAddress at = boxAddresses.get(box.id());
+        return new Catalogue.Line(box.id(), at.getHostString() + ":" + at.getPort(), cells.get(box.id()), phase,
+                box.startedAt() / 1000, box.isPrimary());
+    }
+
+    private void kill(Box box, long time) {
+        if (!box.isUp()) {
+            return;
+        }
+        traced("kill", box.id(), "", "");
+        setOf(box).kill(box);
+        boxMachines.get(box.id()).resetAll();
+        catalogue.change(line(box, "Gone"), scenario.listDelay());
+        scheduler.after(time, () -> {
+            if (boxes.containsKey(box.id())) {
+                setOf(box).restart(box);
+                catalogue.change(line(box, "Ready"), scenario.listDelay() + 1);
+            }
+        });
+    }
+
+    /** A planned replacement: it drains, ends, and a new box with another id takes its place. */
+    private void drain(Box box, long time) {
+        if (!box.isUp() || box.isDraining()) {
+            return;
+        }
+        traced("drain", box.id(), "", "");
+        DatabaseSet set = setOf(box);
+        set.drain(box);
+        catalogue.change(line(box, "Terminating"), 1);
+        Box next = set.join("n" + newBoxes++);
+        stand(next, cells.get(box.id()));
+        catalogue.change(line(next, "Ready"), scenario.listDelay());
+        scheduler.after(3_000_000 + time, () -> {
+            if (box.isUp()) {
+                set.kill(box);
+                boxMachines.get(box.id()).resetAll();
+                catalogue.change(line(box, "Gone"), scenario.listDelay());
+            }
+            boxes.remove(box.id());
+        });
+    }
+
+    private void killGateway(Process p, long time) {
+        if (p.dead || p.stopping) {
+            return;
+        }
+        traced("kill", "g" + p.index, "", "");
+        p.dead = true;
+        excuseAll(p.index);
+        net.unlisten(gatewayAddresses.get(p.index));
+        p.machine.resetAll();
+        scheduler.after(Math.min(time, 1_000_000), () -> startGateway(p.index));
+    }
+
+    private void startGateway(int index) {
+        if (ending) {
+            return;
+        }
+        Machine machine = net.machine("g" + index);
+        gatewayMachines.put(machine, index);
+        auditor.restarted(index);
+        processes.set(index, new Process(index, machine));
+    }
+
+    /** SIGTERM: what it has is still owed; a new one stands at its address once it has stopped. */
+    private void stopGateway(Process p) {
+        if (p.dead || p.stopping) {
+            return;
+        }
+        traced("stop", "g" + p.index, "", "");
+        p.stopping = true;
+        p.stopAt = scheduler.now();
+        p.loop.post(p.gateway::drain);
+        awaitStop(p, scheduler.now() + DRAIN_TIME);
+    }
+
+    private void awaitStop(Process p, long end) {
+        scheduler.after(10_000, () -> {
+            if (p.loop.isStopped()) {
+                nothingLeft(p);
+                startGateway(p.index);
+            } else if (scheduler.now() < end) {
+                awaitStop(p, end);
+            } else {
+                nothingLeft(p);
+            }
+        });
+    }
+
+    // ---- What the parties use ---------------------------------------------------------------------------------
+
+    Scenario scenario() {
+        return scenario;
+    }
+
+    Clock clock() {
+        return scheduler;
+    }
+
+    VirtualNet net() {
+        return net;
+    }
+
+    Auditor auditor() {
+        return auditor;
+    }
+
+    List<ClassSettings> types() {
+        return types;
+    }
+
+    ClassSettings type(String name) {
+        return types.stream().filter(t -> t.name().equals(name)).findFirst().orElseThrow();
+    }
+
+    InetSocketAddress gatewayAddress(int gateway) {
+        return gatewayAddresses.get(gateway);
+    }
+
+    boolean spoils(Box box) {
+        return spoiling.getOrDefault(box.id(), 0L) > scheduler.now() && random.nextInt(4) == 0;
+    }
+
+    void gone(HostTalker talker) {
+        traced("left", String.valueOf(talker.isOver()), "", "");
+    }
+
+    void attempt(Query query, Auditor.Try attempt) {
+        begun.put(query.id(), attempt);
+        traced("attempt", query.id(), "", "");
+    }
+
+    void told(Machine machine, List<Catalogue.Line> some, boolean complete) {
+        Integer gateway = gatewayMachines.get(machine);
+        if (gateway == null || processes.size() <= gateway || processes.get(gateway).machine != machine) {
+            return;
+        }
+        Set<String> named = new LinkedHashSet<>();
+        for (Catalogue.Line l : some) {
+            named.add(l.id());
+            if (l.phase().equals("Ready")) {
+                auditor.drainOver(gateway, l.id());
+            } else {
+                auditor.drainTold(gateway, l.id(), scheduler.now());
+            }
+        }
+        if (complete) {
+            boxes.keySet().stream().filter(id -> !named.contains(id))
+                    .forEach(id -> auditor.drainTold(gateway, id, scheduler.now()));
+        }
+    }
+
+    /** Whether clients still open connections to a gateway: they go on for a moment after its SIGTERM. */
+    boolean takesConnections(int gateway) {
+        Process p = processes.get(gateway);
+        return !p.stopping || scheduler.now() < p.stopAt + LAST_ARRIVALS;
+    }
+
+    /** A gateway has been shown by a box itself that it is a replica. */
+    void shown(End gatewaysEnd, String box) {
+        Integer gateway = gatewayMachines.get(gatewaysEnd.machine());
+        if (gateway != null) {
+            shownAt.computeIfPresent(gateway + "/" + box, (k, at) -> Math.min(at, scheduler.now()));
+        }
+    }
+
+    private long[] worthOf(ClassSettings type) {
+        return worth.computeIfAbsent(type.name(), n -> new long[6]);
+    }
+
+    void asked(Asked a, int tried) {
+        requests++;
+        worthOf(a.type)[0]++;
+        if (tried > 0) {
+            retries.put(a.id, tried);
+        }
+        if (disturbed.contains(a.gateway)) {
+            auditor.excuse(a);
+        }
+        traced("ask", a.id, a.type.name(), "");
+    }
+
+    /** The load found no connection: that is asked for and not answered, and nobody's fault but the crowd's. */
+    void notAsked(ClassSettings type) {
+        worthOf(type)[0]++;
+        worthOf(type)[5]++;
+    }
+
+    int retries(Asked a) {
+        return retries.getOrDefault(a.id, 0);
+    }
+
+    void answered(Asked a, String value, String code) {
+        long now = scheduler.now();
+        traced("answered", a.id, String.valueOf(value), String.valueOf(code));
+        auditor.answered(a, now, value, code);
+        int what = code == null ? now <= a.sentAt + a.type.aim() ? 1 : 2
+                : code.equals("53300") || code.equals("57P03") ? 3 : 4;
+        worthOf(a.type)[what]++;
+    }
+
+    void unanswered(Asked a, String how) {
+        traced("unanswered", a.id, how, "");
+        worthOf(a.type)[5]++;
+        auditor.unanswered(a, scheduler.now(), how);
+    }
+
+    /** A connection has ended with a request open; where its gateway was killed or is stopping that is excused. */
+    void lost(Asked a, boolean reset) {
+        traced("lost", a.id, String.valueOf(reset), "");
+        worthOf(a.type)[5]++;
+        Process p = processes.get(a.gateway);
+        boolean crossed = a.isUntouched();
+        if (p.dead || p.stopping && crossed || crossed) {
+            // A connection that the gateway ended between requests may cross the next one; it was sent nowhere.
+            auditor.excuse(a);
+        }
+        auditor.unanswered(a, scheduler.now(), "lost its connection");
+    }
+
+    /** Its client reads nothing for a while: what comes late by that is its own fault. */
+    void stalled(ClientTalker talker, long time) {
+        talker.excuseCurrent();
+        scheduler.after(time, () -> {
+            talker.excuseCurrent();
+            talker.stall(false);
+        });
+    }
+
+    void traced(String what, String a, String b, String c) {
+        String line = scheduler.now() - START + " " + what + " " + a + " " + b + " " + c;
+        hash.update(line.getBytes(UTF_8));
+        trace.accept(line);
+    }
+
+    private final class SetWitness implements DatabaseSet.Witness {
+
+        @Override
+        public void begun(Box box, Query query) {
+            Auditor.Try attempt = begun.get(query.id());
+            if (attempt != null) {
+                auditor.begins(attempt);
+            }
+        }
+
+        @Override
+        public void applied(Box box, Effect effect, Query by, boolean repeated) {
+            traced("applied", box.id(), by.id(), effect.key());
+            auditor.applied(effect, by.id(), repeated, scheduler.now());
+        }
+
+        @Override
+        public void read(Box box, Query query, long position) {
+            auditor.read(query.id(), box.id(), box.isPrimary(), position, scheduler.now(),
+                    shownAt.getOrDefault(auditor.gatewayOf(query.id()) + "/" + box.id(), 0L) + KNOWN_AFTER);
+        }
+
+        @Override
+        public void pushedOver(Box box) {
+            auditor.violated(scheduler.now(), Rule.COLD, box.id() + " got more than a cold box can bear");
+        }
+
+        @Override
+        public void primary(Box box, Box before, List<Effect> lost) {
+            for (int g = 0; before != null && g < scenario.gateways(); g++) {
+                shownAt.put(g + "/" + before.id(), Long.MAX_VALUE - KNOWN_AFTER);
+            }
+            traced("primary", box == null ? "none" : box.id(), String.valueOf(lost.size()), "");
+            auditor.lost(lost);
+            if (box != null && boxes.containsKey(box.id())) {
+                for (Box b : setOf(box).boxes()) {
+                    if (b.isUp() && boxes.containsKey(b.id())) {
+                        catalogue.change(line(b, b.isDraining() ? "Terminating" : "Ready"), scenario.listDelay() + 2);
+                    }
+                }
+            }
+        }
+    }
+
+    private Result result() {
+        Map<String, Worth> out = new TreeMap<>();
+        double kept = 0;
+        double wanted = 0;
+        for (ClassSettings type : types) {
+            long[] w = worthOf(type);
+            out.put(type.name(), new Worth(w[0], w[1], w[2], w[3], w[4], w[5]));
+            kept += type.worth() * (w[1] + type.lateShare() * w[2]);
+            wanted += type.worth() * w[0];
+        }
+        return new Result(auditor.violations(), auditor.count(), out, wanted == 0 ? 1 : kept / wanted,
+                scheduler.count(), requests, HexFormat.of().formatHex(hash.digest()));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/shelffront/lab/world/HostTalker.java
@@ -0,0 +1,133 @@
+package shelffront.lab.world;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import java.nio.ByteBuffer;
+import java.util.Locale;
+import shelffront.lab.audit.Auditor;
+import shelffront.lab.model.DatabaseSet;
+import shelffront.lab.model.DatabaseSet.Answer;
+import shelffront.lab.model.DatabaseSet.Kind;
+import shelffront.lab.model.DatabaseSet.Query;
+import shelffront.lab.virtual.End;
+import shelffront.lab.virtual.Talker;
+import shelffront.pg.Message;
+import shelffront.pg.ProtocolException;
+import shelffront.pg.Statement;
+import shelffront.route.Router.ClassSettings;
+import shelffront.route.Router.Read;
+
+/** A box's side of a connection, on PostgreSQL's wire as far as the gateway speaks it. */
+final class HostTalker extends Talker {
+
+    private final Fleet fleet;
+    private final DatabaseSet.Box box;
+    private boolean started;
+
+    HostTalker(Fleet fleet, DatabaseSet.Box box, End accepted) {
+        this.fleet = fleet;
+        this.box = box;
+        on(accepted);
+    }
+
+    @Override
+    protected void received(ByteBuffer bytes) {
+        try {
+            while (true) {
+                Message m = started ? Message.next(bytes, "QX", Message.GREATEST) : Message.nextStartup(bytes);
+                if (m == null) {
+                    return;
+                }
+                if (!started) {
+                    started = true;
+                    box.handshake();
+                    fleet.clock().after(fleet.scenario().figures().handshake(), this::welcome);
+                } else if (m.type() == 'Q') {
+                    query(m.text(0));
+                } else {
+                    close();
+                    return;
+                }
+            }
+        } catch (ProtocolException e) {
+            reset();                             // what no gateway may send
+            fleet.auditor().violated(fleet.clock().now(), Auditor.Rule.RIGHT_VALUE, "to " + box.id() + ": "
+                    + e.getMessage());
+        }
+    }
+
+    private void welcome() {
+        send(Message.authenticationOk());
+        send(Message.readyForQuery());
+    }
+
+    private void query(String text) throws ProtocolException {
+        if (text.startsWith("SHOW")) {
+            long position = box.position();
+            tellsRole(box.isPrimary());
+            row(String.format(Locale.ROOT, "x0=%d.%03d,x1=%d,queue=%d", position / 1_000_000,
+                    position / 1000 % 1000, box.isPrimary() ? 1 : 0, box.queued()), "SHOW");
+            return;
+        }
+        Statement s = Statement.read(text.getBytes(ISO_8859_1));
+        ClassSettings type = fleet.type(s.value("c"));
+        String id = s.value("id");
+        long now = fleet.clock().now();
+        End gateway = end.other();
+        Auditor.Try attempt = fleet.auditor().arrives(id, box.id(), now, gateway.writtenAt(), gateway::overAt);
+        Query q = new Query(id, s.value("k"), s.key(), type.writes(), type.read() == Read.FRESH, type.bound(),
+                now + s.number("d", 0) * 1000L);
+        fleet.attempt(q, attempt);
+        box.submit(q, answer -> answer(q, attempt, answer));
+    }
+
+    private void answer(Query q, Auditor.Try attempt, Answer answer) {
+        attempt.answered(fleet.clock().now(), answer.kind() == Kind.FULL || answer.kind() == Kind.MISS);
+        fleet.traced("answer", box.id(), q.id(), answer.kind().name());
+        if (isOver()) {
+            return;
+        }
+        if (fleet.spoils(box)) {
+            send(new byte[] {'D', 0x7f, 1, 2, 3, 4, 5, 6});
+            return;
+        }
+        tellsRole(answer.primary());
+        if (answer.kind() != Kind.OK) {
+            send(Message.error(false, answer.kind() == Kind.FULL ? "53300" : answer.kind() == Kind.ERROR ? "XX000"
+                    : q.write() ? "25006" : "72000", "no", null));
+            send(Message.parameterStatus("server_role", answer.primary() ? "writer" : "reader"));
+            send(Message.readyForQuery());
+            return;
+        }
+        // A commit is told rounded up, a copy's position rounded down: neither may look better than it is.
+        long told = q.write() ? (answer.position() + 999) / 1000 : answer.position() / 1000;
+        send(Message.parameterStatus("commit_clock", Long.toString(told)));
+        send(Message.parameterStatus("server_role", answer.primary() ? "writer" : "reader"));
+        row(q.id(), q.write() ? "INSERT 0 1" : "SELECT 1");
+    }
+
+    /** What it says of its role counts once it is written. */
+    private void tellsRole(boolean primary) {
+        if (!primary && end.other() != null) {
+            fleet.shown(end.other(), box.id());
+        }
+    }
+
+    private void row(String value, String tag) {
+        byte[] text = value.getBytes(ISO_8859_1);
+        byte[] body = new byte[6 + text.length];
+        body[1] = 1;
+        body[4] = (byte) (text.length >> 8);
+        body[5] = (byte) text.length;
+        System.arraycopy(text, 0, body, 6, text.length);
+        send(new Message('T', ("\0\1v\0" + "\0".repeat(18)).getBytes(ISO_8859_1)).bytes());
+        send(new Message('D', body).bytes());
+        send(new Message('C', (tag + "\0").getBytes(ISO_8859_1)).bytes());
+        send(Message.readyForQuery());
+    }
+
+    @Override
+    protected void ended(boolean reset) {
+        fleet.gone(this);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/shelffront/lab/world/Scenario.java
@@ -0,0 +1,75 @@
+package shelffront.lab.world;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import shelffront.lab.model.Figures;
+import shelffront.lab.virtual.VirtualNet.Weather;
+
+/**
+ * A run of the virtual fleet: everything in it follows from this. Drawn from a seed, and cut down to find the least of
+ * it that still fails. Times are microseconds from the start.
+ */
+public record Scenario(long seed, int gateways, int sets, int boxes, double perSecond, long length, Figures figures,
+        Weather weather, long listDelay, boolean onceWrites, List<Fault> faults) {
+
+    /** What goes wrong. */
+    public enum FaultKind {
+        KILL_BOX, KILL_PRIMARY, DRAIN_BOX, DRAIN_PRIMARY, VANISH_BOX, SLOW_BOX, SPOIL_BOX, RESET_BOX, BAD_NETWORK,
+        BREAK_WATCHES, DISCOVERY_DOWN, KILL_GATEWAY, STOP_GATEWAY, PAUSE_GATEWAY, STEP_CLOCK, BURST, HANG_UPS,
+        STALL_READERS
+    }
+
+    /** One fault: when, what, which one of those there are, and for how long. */
+    public record Fault(long at, FaultKind kind, int target, long time) {
+
+        @Override
+        public String toString() {
+            return String.format(Locale.ROOT, "%.3fs %s %d for %.3fs", at / 1e6, kind, target, time / 1e6);
+        }
+    }
+
+    private static final long SECOND = 1_000_000;
+
+    /** By a seed alone; the rate is that of all gateways together. */
+    public static Scenario draw(long seed) {
+        UniformRandomProvider r = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        int gateways = 1 + r.nextInt(4);
+        int sets = 1 + r.nextInt(2);
+        int boxes = 2 + r.nextInt(3);
+        long length = (6 + r.nextInt(10)) * SECOND;
+        Figures.Check check = Figures.Check.values()[r.nextInt(3)];
+        int cores = 2 + r.nextInt(7);
+        long work = 1_000 + r.nextInt(12_000);
+        double load = 0.15 + 1.1 * r.nextDouble() * r.nextDouble();
+        Figures figures = new Figures(cores, 8 + r.nextInt(60), 40 + r.nextInt(200), work, work * 2,
+                0.2 + r.nextDouble(), 300 + r.nextInt(3_000), 500 + r.nextInt(40_000), 100 + r.nextInt(1500), 0.21,
+                18 * SECOND, SECOND + r.nextInt((int) (3 * SECOND)), 200_000 + r.nextInt((int) SECOND), 2 * SECOND,
+                check, 50_000, 4, 2 * SECOND, r.nextInt(4) == 0);
+        Weather weather = new Weather(100 + r.nextInt(900), r.nextInt(2_000),
+                r.nextInt(3) == 0 ? 0 : r.nextDouble() / 2);
+        // Half the boxes' capacity at the most on most days: a replica serves reads, the primary writes too.
+        double perSecond = load * sets * boxes * cores * 1e6 / (work * 1.4);
+        List<Fault> faults = new ArrayList<>();
+        int count = r.nextInt(9);
+        for (int i = 0; i < count; i++) {
+            FaultKind kind = FaultKind.values()[r.nextInt(FaultKind.values().length)];
+            faults.add(new Fault(SECOND / 2 + r.nextLong(length - SECOND), kind, r.nextInt(100),
+                    50_000 + r.nextLong(4 * SECOND)));
+        }
+        return new Scenario(seed, gateways, sets, boxes, Math.min(600, perSecond), length, figures, weather,
+                200_000 + r.nextInt((int) (2 * SECOND)), r.nextInt(3) == 0, List.copyOf(faults));
+    }
+
+    Scenario withFaults(List<Fault> next) {
+        return new Scenario(seed, gateways, sets, boxes, perSecond, length, figures, weather, listDelay, onceWrites,
+                List.copyOf(next));
+    }
+
+    Scenario at(double rate, long shorter) {
+        return new Scenario(seed, gateways, sets, boxes, perSecond * rate, Math.min(length, shorter), figures, weather,
+                listDelay, onceWrites, faults);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/shelffront/lab/world/FleetTest.java
@@ -0,0 +1,105 @@
+package shelffront.lab.world;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import shelffront.lab.model.Figures;
+import shelffront.lab.virtual.VirtualNet.Weather;
+import shelffront.lab.world.Scenario.Fault;
+import shelffront.lab.world.Scenario.FaultKind;
+import shelffront.lab.world.Shrinker.Cut;
+
+/** The virtual fleet: the same run each time, every rule kept on a fixed set of seeds, failures cut down. */
+class FleetTest {
+
+    private static final long SECOND = 1_000_000;
+
+    /** Hashes of everything that happened, of a few seeds: printed by {@link #main}, and compared. */
+    private static List<String> hashes() {
+        return LongStream.of(3, 11, 25, 66).mapToObj(s -> Fleet.play(Scenario.draw(s).at(0.5, 4 * SECOND)).hash())
+                .toList();
+    }
+
+    public static void main(String[] arguments) {
+        hashes().forEach(System.out::println);
+    }
+
+    @Test
+    void theSameSeedGivesTheSameRunInTwoProcesses() throws Exception {
+        List<String> here = hashes();
+        assertEquals(here, hashes(), "in one process");
+        Process child = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), FleetTest.class.getName()).redirectErrorStream(true).start();
+        String printed = new String(child.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(child.waitFor(60, TimeUnit.SECONDS));
+        assertEquals(String.join("\n", here), printed.strip(), "in another process");
+        assertNotEquals(here.get(0), Fleet.play(Scenario.draw(3).at(0.5, 3 * SECOND)).hash());
+    }
+
+    /** Among them each that has shown a fault of the gateway or of the lab, and what it was. */
+    @Test
+    void everyRuleIsKeptOnTheFixedSeeds() {
+        LongStream.rangeClosed(1, 60).parallel().forEach(seed -> {
+            Fleet.Result result = Fleet.play(Scenario.draw(seed).at(0.6, 6 * SECOND));
+            assertEquals(List.of(), result.violations(), "seed " + seed);
+        });
+    }
+
+    /** A fault that one of five faults of the day brings out is cut down to that one and a short run. */
+    @Test
+    void aFailingSeedIsCutDown() {
+        long seed = LongStream.range(1, 500).filter(s -> Scenario.draw(s).faults().size() >= 5
+                && Scenario.draw(s).faults().stream().filter(f -> f.kind() == FaultKind.KILL_BOX).count() == 1)
+                .findFirst().orElseThrow();
+        Cut cut = Shrinker.shrink(seed, s -> s.faults().stream().anyMatch(f -> f.kind() == FaultKind.KILL_BOX)
+                && s.length() > 2 * SECOND);
+        assertEquals(1, cut.faults().size());
+        assertTrue(cut.length() < 4 * SECOND && cut.rate() < 0.05, cut.toString());
+        assertEquals(FaultKind.KILL_BOX, cut.of(seed).faults().get(0).kind());
+        assertTrue(cut.command(seed).contains("replay " + seed + " --faults " + cut.faults().get(0)));
+    }
+
+    private static Scenario day(int gateways, double perSecond, Figures.Check check, boolean losesTail,
+            Fault... faults) {
+        Figures figures = new Figures(8, 60, 400, 3_000, 6_000, 0.5, 1_000, 20_000, 300, 0.21, 18 * SECOND, SECOND,
+                SECOND / 2, 2 * SECOND, check, 50_000, 4, 2 * SECOND, losesTail);
+        return new Scenario(5, gateways, 2, 4, perSecond, 8 * SECOND, figures, new Weather(300, 700, 0.1),
+                SECOND / 2, true, List.of(faults));
+    }
+
+    /** Three gateways, eight boxes and 1,500 requests a second, many at once when a crowd comes. */
+    @Test
+    void aQuietDayIsServedWhole() {
+        Fleet.Result result = Fleet.play(day(3, 1500, Figures.Check.WAIT, false));
+        assertEquals(List.of(), result.violations());
+        assertTrue(result.requests() > 10_000, "requests " + result.requests());
+        assertTrue(result.worthKept() > 0.99, "worth kept " + result.worthKept());
+    }
+
+    /** A replica is promoted without the end of the log; what was lost is the set's loss, and told as no one's. */
+    @Test
+    void aPrimaryThatTakesItsLogsEndAlongBreaksNoRule() {
+        Fleet.Result result = Fleet.play(day(2, 800, Figures.Check.SILENT, true,
+                new Fault(2 * SECOND, FaultKind.KILL_PRIMARY, 0, SECOND),
+                new Fault(5 * SECOND, FaultKind.KILL_PRIMARY, 1, SECOND)));
+        assertEquals(List.of(), result.violations());
+    }
+
+    /** A clock that steps 20 ms either way under load, twice. */
+    @Test
+    void clocksThatStepBreakNoRule() {
+        Fleet.Result result = Fleet.play(day(2, 800, Figures.Check.WAIT, false,
+                new Fault(2 * SECOND, FaultKind.STEP_CLOCK, 0, SECOND),
+                new Fault(3 * SECOND, FaultKind.STEP_CLOCK, 1, SECOND),
+                new Fault(4 * SECOND, FaultKind.STEP_CLOCK, 2, SECOND)));
+        assertEquals(List.of(), result.violations());
+        assertTrue(result.worthKept() > 0.9, "worth kept " + result.worthKept());
+    }
+}
