Play virtual experiments with charts and intervals, and hold the gateway against a bare relay

What the gateway costs had nothing to be held against.

Change: files with `virtual: true` play levels, each with every seed, spread over the cores; intervals are bootstrapped, a directory keeps the file, every run with its hash, a summary and charts; `compare A B` tells difference from chance. A bare relay on the same channels stands in phases with `relay: true`.

--- a/lab/src/main/java/shelffront/lab/LabMain.java
+++ b/lab/src/main/java/shelffront/lab/LabMain.java
@@ -1,5 +1,7 @@
 package shelffront.lab;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -12,12 +14,14 @@
 import picocli.CommandLine.Parameters;
 import shelffront.cli.Templates;
 import shelffront.lab.experiment.Experiment;
+import shelffront.lab.experiment.VirtualExperiment;
 import shelffront.tenant.SpecJson.SpecException;
 
 /** The lab's commands. */
 @Command(name = "shelffront-lab", mixinStandardHelpOptions = true,
         description = "Plays load and faults against shelffront on stand-in boxes of its own.",
-        subcommands = {LabMain.Run.class, Explore.class, Explore.Replay.class, Demo.class, Scale.class})
+        subcommands = {LabMain.Run.class, LabMain.Compare.class, Explore.class, Explore.Replay.class, Demo.class,
+            Scale.class})
 public final class LabMain {
 
     private LabMain() { }
@@ -35,6 +39,24 @@
         System.exit(line.execute(arguments));
     }
 
+    /** Holds two kept experiments against each other. */
+    @Command(name = "compare", mixinStandardHelpOptions = true,
+            description = "Says of each level of two kept experiments whether its worth differs beyond chance.")
+    static final class Compare implements Callable<Integer> {
+
+        @Parameters(paramLabel = "A")
+        private Path a;
+
+        @Parameters(paramLabel = "B")
+        private Path b;
+
+        @Override
+        public Integer call() throws IOException {
+            VirtualExperiment.compare(a, b).forEach(System.out::println);
+            return 0;
+        }
+    }
+
     /** Plays one experiment. */
     @Command(name = "run", mixinStandardHelpOptions = true, description = {"Plays an experiment and prints its table.",
         "Exit codes: 0 every claim kept, 1 one was not, 2 the machine was too slow to tell."})
@@ -46,9 +68,21 @@
         @Option(names = "--keep", paramLabel = "FILE", description = "write the table here too, as Markdown")
         private Path keep;
 
+        @Option(names = "--out", paramLabel = "DIRECTORY",
+                description = "keep runs, tables and charts here (virtual experiments)")
+        private Path out;
+
+        @Option(names = "--short", description = "the file's short form")
+        private boolean isShort;
+
         @Override
         public Integer call() throws IOException, SpecException, InterruptedException {
-            Experiment.Report report = Experiment.run(Templates.evaluate(file));
+            JsonNode experiment = Templates.evaluate(file);
+            if (isShort && experiment.has("short")) {
+                ((ObjectNode) experiment).setAll((ObjectNode) experiment.path("short"));
+            }
+            Experiment.Report report = experiment.path("virtual").asBoolean(false)
+                    ? VirtualExperiment.run(experiment, out) : Experiment.run(experiment);
             List<String> lines = new ArrayList<>(report.table());
             lines.add("");
             report.claims().forEach(c -> lines.add("- " + c));
--- a/lab/src/main/java/shelffront/lab/experiment/Experiment.java
+++ b/lab/src/main/java/shelffront/lab/experiment/Experiment.java
@@ -17,6 +17,7 @@
 import shelffront.hosted.Hosted;
 import shelffront.hosted.HostedConfig;
 import shelffront.lab.load.Load;
+import shelffront.lab.load.Relay;
 import shelffront.lab.standin.StandInSet;
 import shelffront.tenant.SpecJson;
 import shelffront.tenant.SpecJson.SpecException;
@@ -54,8 +55,8 @@
 
     private void play() throws IOException, SpecException, InterruptedException {
         table.add("| phase | tenant | weight | due/s | on time/s | worth kept | refused | late | failed | unanswered "
-                + "| p50 ms | p99 ms | load lag p99 ms | gateway CPU us/request |");
-        table.add("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+                + "| p50 ms | p99 ms | p99.9 ms | load lag p99 ms | gateway CPU us/request |");
+        table.add("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
         for (JsonNode phase : file.path("phases")) {
             phase(phase);
         }
@@ -87,7 +88,9 @@
             }
             Hosted hosted = new Hosted(HostedConfig.read(config), line -> { });
             Thread turns = hosted.start();
-            load(phase, hosted, turns, tenants);
+            try (Relay relay = phase.path("relay").asBoolean(false) ? relay(sets) : null) {
+                load(phase, hosted, turns, tenants, relay);
+            }
             hosted.drain();
             turns.join();
         } finally {
@@ -95,6 +98,13 @@
         }
     }
 
+    /** To the first replica of the first set, or its primary where it has no replica. */
+    private static Relay relay(Map<String, StandInSet> sets) throws IOException {
+        List<StandInSet.Box> boxes = sets.values().iterator().next().boxes();
+        String[] at = boxes.get(Math.min(1, boxes.size() - 1)).address().split(":");
+        return new Relay(new InetSocketAddress(at[0], Integer.parseInt(at[1])));
+    }
+
     private static ObjectNode tenant(String id, JsonNode given, StandInSet set) {
         ObjectNode tenant = given.deepCopy();
         tenant.put("id", id);
@@ -111,16 +121,17 @@
         ThreadMXBean threads = ManagementFactory.getThreadMXBean();
         long sum = threads.getThreadCpuTime(turns.getId());
         for (Thread each : Thread.getAllStackTraces().keySet()) {
-            sum += each.getName().equals("completions") || each.getName().startsWith("turns-") ? Math.max(0, threads.getThreadCpuTime(each.getId())) : 0;
+            boolean own = each.getName().equals("completions") || each.getName().startsWith("turns-");
+            sum += own ? Math.max(0, threads.getThreadCpuTime(each.getId())) : 0;
         }
         return sum;
     }
 
-    private void load(JsonNode phase, Hosted hosted, Thread turns, ArrayNode tenants)
+    private void load(JsonNode phase, Hosted hosted, Thread turns, ArrayNode tenants, Relay relay)
             throws IOException, SpecException, InterruptedException {
         String name = phase.path("name").asText();
-        InetSocketAddress gateway = new InetSocketAddress(InetAddress.getLoopbackAddress(),
-                hosted.address().getPort());
+        InetSocketAddress gateway = relay != null ? relay.address() : new InetSocketAddress(
+                InetAddress.getLoopbackAddress(), hosted.address().getPort());
         double warm = file.path("warmSeconds").asDouble(2);
         double seconds = file.path("seconds").asDouble(5);
         run(phase, gateway, warm);                 // compiled code and known boxes before anything counts
@@ -145,12 +156,13 @@
             boolean calm = phase.path("load").path(tenant).path("calm").asBoolean(false);
             tooSlow |= calm && lag > MOST_LAG_MICROS;
             table.add(String.format(Locale.ROOT,
-                    "| %s | %s | %s | %.0f | %.0f | %.3f | %d | %d | %d | %d | %.1f | %.1f | %.1f | %.0f |",
+                    "| %s | %s | %s | %.0f | %.0f | %.3f | %d | %d | %d | %d | %.2f | %.1f | %.1f | %.1f | %.0f |",
                     name, tenant,
                     file.path("tenants").path(tenant).path("weight").asText("1"), r.due.sum() / seconds,
                     r.onTime.sum() / seconds, r.worthKept(), r.refused.sum(), r.late.sum(), r.failed.sum(),
                     r.unanswered.sum(), r.served.getValueAtPercentile(50) / 1e3,
-                    r.served.getValueAtPercentile(99) / 1e3, lag / 1e3, cost));
+                    r.served.getValueAtPercentile(99) / 1e3, r.served.getValueAtPercentile(99.9) / 1e3, lag / 1e3,
+                    cost));
         });
     }
 
@@ -188,6 +200,17 @@
     private void claim(JsonNode claim) {
         double within = claim.path("within").asDouble();
         Map<String, Load.Result> phase = results.get(claim.path("phase").asText());
+        if (claim.has("medianAgainst")) {
+            String tenant = claim.path("tenant").asText();
+            double bare = results.get(claim.path("medianAgainst").asText()).get(tenant).served
+                    .getValueAtPercentile(50);
+            double now = phase.get(tenant).served.getValueAtPercentile(50);
+            say(now - bare <= claim.path("micros").asDouble(), String.format(Locale.ROOT,
+                    "phase %s adds %.0f us to the median of phase %s, %.0f us: at most %.0f",
+                    claim.path("phase").asText(), now - bare, claim.path("medianAgainst").asText(), bare,
+                    claim.path("micros").asDouble()));
+            return;
+        }
         if (claim.has("costAgainst")) {
             double alone = costs.get(claim.path("costAgainst").asText());
             double now = costs.get(claim.path("phase").asText());
--- /dev/null
+++ b/lab/src/main/java/shelffront/lab/experiment/VirtualExperiment.java
@@ -0,0 +1,299 @@
+package shelffront.lab.experiment;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.HdrHistogram.Histogram;
+import org.knowm.xchart.VectorGraphicsEncoder;
+import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.style.markers.SeriesMarkers;
+import shelffront.lab.model.Figures;
+import shelffront.lab.virtual.VirtualNet.Weather;
+import shelffront.lab.world.Fleet;
+import shelffront.lab.world.Scenario;
+import shelffront.lab.world.Scenario.Fault;
+import shelffront.lab.world.Scenario.FaultKind;
+import shelffront.tenant.SpecJson;
+import shelffront.tenant.SpecJson.SpecException;
+
+/**
+ * An experiment on the virtual fleet: a base scenario, levels that change it, seeds, claims. Each level is played with
+ * each seed, spread over the cores; the result is a directory with everything in it.
+ */
+public final class VirtualExperiment {
+
+    private static final long SECOND = 1_000_000;
+
+    /** A level's runs, in the order of the seeds. */
+    private record Level(String name, Scenario scenario, List<Fleet.Result> runs) {
+
+        double[] worth() {
+            return runs.stream().mapToDouble(Fleet.Result::worthKept).toArray();
+        }
+
+        int broken() {
+            return runs.stream().mapToInt(Fleet.Result::violationCount).sum();
+        }
+
+        Histogram latency() {
+            Histogram all = new Histogram(60_000_000L, 3);
+            runs.forEach(r -> all.add(r.latency()));
+            return all;
+        }
+    }
+
+    private final JsonNode file;
+    private final List<Level> levels = new ArrayList<>();
+    private final List<String> table = new ArrayList<>();
+    private final List<String> claims = new ArrayList<>();
+    private boolean kept = true;
+
+    private VirtualExperiment(JsonNode file) {
+        this.file = file;
+    }
+
+    /** Plays it; the directory is null where nothing is to be kept. */
+    public static Experiment.Report run(JsonNode file, Path directory)
+            throws IOException, SpecException, InterruptedException {
+        VirtualExperiment experiment = new VirtualExperiment(file);
+        experiment.play();
+        experiment.tell();
+        if (directory != null) {
+            experiment.keep(directory);
+        }
+        return new Experiment.Report(List.copyOf(experiment.table), List.copyOf(experiment.claims), experiment.kept,
+                false);
+    }
+
+    private void play() throws SpecException, InterruptedException {
+        ExecutorService pool = Executors.newFixedThreadPool(Runtime.getRuntime().availableProcessors());
+        try {
+            Map<Level, List<Future<Fleet.Result>>> out = new LinkedHashMap<>();
+            for (JsonNode level : file.path("levels")) {
+                ObjectNode merged = file.path("base").deepCopy();
+                merged.setAll((ObjectNode) level);
+                Scenario scenario = scenario(merged, "/levels/" + out.size());
+                List<Future<Fleet.Result>> runs = new ArrayList<>();
+                for (int seed = 1; seed <= file.path("seeds").asInt(5); seed++) {
+                    Scenario one = scenario.of(seed);
+                    runs.add(pool.submit(() -> Fleet.play(one)));
+                }
+                out.put(new Level(level.path("name").asText(), scenario, new ArrayList<>()), runs);
+            }
+            for (var each : out.entrySet()) {
+                for (Future<Fleet.Result> run : each.getValue()) {
+                    each.getKey().runs().add(run.get());
+                }
+                levels.add(each.getKey());
+            }
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("a run has failed", e.getCause());
+        } finally {
+            pool.shutdownNow();
+        }
+    }
+
+    /** Figures that a file leaves out are those of a calm fleet of small boxes. */
+    static Scenario scenario(JsonNode s, String at) throws SpecException {
+        List<Fault> faults = new ArrayList<>();
+        for (JsonNode f : s.path("faults")) {
+            try {
+                faults.add(new Fault(micros(f, "at", 1), FaultKind.valueOf(f.path("kind").asText()),
+                        f.path("target").asInt(0), micros(f, "seconds", 1)));
+            } catch (IllegalArgumentException e) {
+                throw new SpecException(at + "/faults/" + faults.size() + "/kind", "is none of "
+                        + List.of(FaultKind.values()));
+            }
+        }
+        Figures.Check check;
+        try {
+            check = Figures.Check.valueOf(s.path("check").asText("wait").toUpperCase(Locale.ROOT));
+        } catch (IllegalArgumentException e) {
+            throw new SpecException(at + "/check", "is none of silent, refuse, wait");
+        }
+        long work = s.path("workUs").asLong(6_000);
+        Figures figures = new Figures(s.path("cores").asInt(4), s.path("room").asInt(40),
+                s.path("connections").asInt(200), work, work * 2, s.path("sigma").asDouble(0.5), 1_000,
+                s.path("shipUs").asLong(20_000), s.path("applyUs").asLong(400), 0.21, 18 * SECOND,
+                micros(s, "electionSeconds", 1), micros(s, "handOverSeconds", 0.5), 2 * SECOND, check, 50_000, 4,
+                2 * SECOND, s.path("losesTail").asBoolean(false));
+        return new Scenario(0, s.path("gateways").asInt(2), s.path("sets").asInt(1), s.path("boxes").asInt(3),
+                s.path("perSecond").asDouble(200), micros(s, "seconds", 8), figures,
+                new Weather(s.path("latencyUs").asLong(300), s.path("jitterUs").asLong(700),
+                        s.path("chop").asDouble(0.1)), micros(s, "listDelaySeconds", 1),
+                s.path("onceWrites").asBoolean(false), List.copyOf(faults));
+    }
+
+    private static long micros(JsonNode object, String name, double absent) {
+        return (long) (object.path(name).asDouble(absent) * SECOND);
+    }
+
+    private Level level(String name) {
+        return levels.stream().filter(l -> l.name().equals(name)).findFirst()
+                .orElseThrow(() -> new IllegalArgumentException("a claim names the level " + name + ", which is none"));
+    }
+
+    private void tell() {
+        table.add("| level | runs | requests | worth kept (95 %) | worst run | p50 ms | p99 ms | p99.9 ms "
+                + "| broken rules |");
+        table.add("|---|---|---|---|---|---|---|---|---|");
+        for (Level l : levels) {
+            Bootstrap.Interval worth = Bootstrap.mean(l.worth());
+            Histogram latency = l.latency();
+            table.add(String.format(Locale.ROOT,
+                    "| %s | %d | %d | %.3f (%.3f to %.3f) | %.3f | %.1f | %.1f | %.1f | %d |",
+                    l.name(), l.runs().size(), l.runs().stream().mapToLong(Fleet.Result::requests).sum(), worth.mean(),
+                    worth.low(), worth.high(), l.runs().stream().mapToDouble(Fleet.Result::worthKept).min().orElse(0),
+                    latency.getValueAtPercentile(50) / 1e3, latency.getValueAtPercentile(99) / 1e3,
+                    latency.getValueAtPercentile(99.9) / 1e3, l.broken()));
+        }
+        for (JsonNode claim : file.path("claims")) {
+            if (claim.has("rules")) {
+                int broken = levels.stream().mapToInt(Level::broken).sum();
+                say(broken == 0, broken + " rules broken in all runs");
+                continue;
+            }
+            Level l = level(claim.path("level").asText());
+            double low = Bootstrap.mean(l.worth()).low();
+            if (claim.has("worthAtLeast")) {
+                double least = claim.path("worthAtLeast").asDouble();
+                say(low >= least, String.format(Locale.ROOT, "%s keeps %.3f of its worth at least: %.3f wanted",
+                        l.name(), low, least));
+            } else {
+                Level other = level(claim.path("against").asText());
+                Bootstrap.Interval less = Bootstrap.difference(other.worth(), l.worth());
+                double within = claim.path("within").asDouble();
+                say(less.high() <= within, String.format(Locale.ROOT,
+                        "%s keeps %.3f less than %s (%.3f to %.3f): %.3f at the most wanted", l.name(), less.mean(),
+                        other.name(), less.low(), less.high(), within));
+            }
+        }
+    }
+
+    private void say(boolean isKept, String text) {
+        kept &= isKept;
+        claims.add((isKept ? "kept: " : "NOT kept: ") + text);
+    }
+
+    // ---- What is kept -----------------------------------------------------------------------------------------
+
+    private void keep(Path directory) throws IOException {
+        Files.createDirectories(directory);
+        Files.writeString(directory.resolve("experiment.json"), file.toPrettyString() + "\n");
+        StringBuilder runs = new StringBuilder();
+        StringBuilder csv = new StringBuilder("level,seed,requests,worth_kept,p50_ms,p99_ms,broken,hash\n");
+        for (Level l : levels) {
+            for (int i = 0; i < l.runs().size(); i++) {
+                Fleet.Result r = l.runs().get(i);
+                ObjectNode line = SpecJson.JSON.createObjectNode().put("level", l.name()).put("seed", i + 1)
+                        .put("requests", r.requests()).put("worthKept", r.worthKept())
+                        .put("broken", r.violationCount()).put("hash", r.hash());
+                line.set("classes", SpecJson.JSON.valueToTree(r.worth()));
+                runs.append(line).append('\n');
+                csv.append(String.format(Locale.ROOT, "%s,%d,%d,%.5f,%.3f,%.3f,%d,%s%n", l.name(), i + 1, r.requests(),
+                        r.worthKept(), r.latency().getValueAtPercentile(50) / 1e3,
+                        r.latency().getValueAtPercentile(99) / 1e3, r.violationCount(), r.hash().substring(0, 16)));
+            }
+        }
+        Files.writeString(directory.resolve("runs.jsonl"), runs);
+        Files.writeString(directory.resolve("runs.csv"), csv);
+        List<String> lines = new ArrayList<>(table);
+        lines.add("");
+        claims.forEach(c -> lines.add("- " + c));
+        lines.addAll(List.of("", "![worth over time](worth.svg)", "", "![latency](latency.svg)"));
+        Files.write(directory.resolve("summary.md"), lines);
+        charts(directory);
+    }
+
+    private void charts(Path directory) throws IOException {
+        XYChart worth = chart("Worth answered within its aim, over time", "second", "part of what was asked");
+        XYChart latency = chart("Latency of served requests", "percentile (number of nines)", "ms");
+        latency.getStyler().setYAxisLogarithmic(true);
+        for (Level l : levels) {
+            int windows = l.runs().get(0).wanted().length;
+            double[] seconds = new double[windows];
+            double[] part = new double[windows];
+            for (int w = 0; w < windows; w++) {
+                double wanted = 0;
+                double served = 0;
+                for (Fleet.Result r : l.runs()) {
+                    wanted += r.wanted()[w];
+                    served += r.kept()[w];
+                }
+                seconds[w] = w * Fleet.WINDOW / 1e6;
+                part[w] = wanted == 0 ? 1 : served / wanted;
+            }
+            worth.addSeries(l.name(), seconds, part).setMarker(SeriesMarkers.NONE);
+            double[] nines = new double[31];
+            double[] ms = new double[31];
+            Histogram all = l.latency();
+            for (int i = 0; i < nines.length; i++) {
+                nines[i] = i / 10.0;
+                ms[i] = Math.max(0.01, all.getValueAtPercentile(100 * (1 - Math.pow(10, -nines[i]))) / 1e3);
+            }
+            latency.addSeries(l.name(), nines, ms).setMarker(SeriesMarkers.NONE);
+        }
+        // The moments of the faults, as lines from bottom to top.
+        Map<String, Boolean> drawn = new LinkedHashMap<>();
+        for (Level l : levels) {
+            for (Fault f : l.scenario().faults()) {
+                String name = f.kind().name().toLowerCase(Locale.ROOT) + " " + f.at() / 1e6;
+                if (drawn.put(name, true) == null) {
+                    worth.addSeries(name, new double[] {f.at() / 1e6, f.at() / 1e6}, new double[] {0, 1})
+                            .setMarker(SeriesMarkers.NONE);
+                }
+            }
+        }
+        VectorGraphicsEncoder.saveVectorGraphic(worth, directory.resolve("worth").toString(),
+                VectorGraphicsFormat.SVG);
+        VectorGraphicsEncoder.saveVectorGraphic(latency, directory.resolve("latency").toString(),
+                VectorGraphicsFormat.SVG);
+    }
+
+    private static XYChart chart(String title, String x, String y) {
+        return new XYChartBuilder().width(900).height(420).title(title).xAxisTitle(x).yAxisTitle(y).build();
+    }
+
+    /** Which levels of two kept experiments differ beyond chance; a line each. */
+    public static List<String> compare(Path a, Path b) throws IOException {
+        Map<String, List<Double>> first = worth(a);
+        Map<String, List<Double>> second = worth(b);
+        List<String> lines = new ArrayList<>();
+        for (var each : first.entrySet()) {
+            if (second.containsKey(each.getKey())) {
+                Bootstrap.Interval d = Bootstrap.difference(array(second.get(each.getKey())), array(each.getValue()));
+                lines.add(String.format(Locale.ROOT, "%s: worth kept differs by %+.4f (%+.4f to %+.4f), %s",
+                        each.getKey(), d.mean(), d.low(), d.high(), d.low() > 0 || d.high() < 0 ? "beyond chance"
+                                : "no more than chance"));
+            }
+        }
+        return lines;
+    }
+
+    private static double[] array(List<Double> list) {
+        return list.stream().mapToDouble(d -> d).toArray();
+    }
+
+    private static Map<String, List<Double>> worth(Path directory) throws IOException {
+        Map<String, List<Double>> all = new LinkedHashMap<>();
+        for (String line : Files.readAllLines(directory.resolve("runs.jsonl"))) {
+            JsonNode run = SpecJson.JSON.readTree(line);
+            all.computeIfAbsent(run.path("level").asText(), n -> new ArrayList<>())
+                    .add(run.path("worthKept").asDouble());
+        }
+        return all;
+    }
+}
--- a/lab/src/main/java/shelffront/lab/world/Fleet.java
+++ b/lab/src/main/java/shelffront/lab/world/Fleet.java
@@ -17,6 +17,7 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import org.HdrHistogram.Histogram;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import shelffront.config.GatewayConfig;
@@ -73,9 +74,19 @@
     /** What a class came to. */
     public record Worth(long asked, long onTime, long late, long refused, long failed, long unanswered) { }
 
-    /** How a run ended: broken rules, what classes came to, its size, and a hash over all that happened. */
+    /** Windows of a run in which worth is counted, in microseconds. */
+    public static final long WINDOW = 250_000;
+
+    /**
+     * How a run ended: broken rules, what classes came to, its size, and a hash over all that happened.
+     *
+     * @param wanted worth asked for in each window
+     * @param kept of that, the worth that was answered within the classes' aims
+     * @param latency microseconds from asking to a served answer
+     */
     public record Result(List<Auditor.Violation> violations, int violationCount, Map<String, Worth> worth,
-            double worthKept, long events, long requests, String hash) { }
+            double worthKept, double[] wanted, double[] kept, Histogram latency, long events, long requests,
+            String hash) { }
 
     /** A gateway's process. */
     private final class Process {
@@ -164,6 +175,10 @@
     private final Map<String, Long> shownAt = new HashMap<>();
     private final MessageDigest hash;
     private final Consumer<String> trace;
+    private final double[] wanted;
+    private final double[] kept;
+    private final Histogram latency = new Histogram(60_000_000L, 3);
+    private long startedAt;
     private long requests;
     private int newBoxes;
     private boolean ending;
@@ -172,6 +187,8 @@
         this.scenario = scenario;
         this.variant = variant;
         this.trace = trace;
+        wanted = new double[(int) (scenario.length() / WINDOW) + 1];
+        kept = new double[wanted.length];
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(scenario.seed() * 31 + 7);
         net = new VirtualNet(scheduler, fork(), scenario.weather());
         types = types(scenario.onceWrites());
@@ -254,6 +271,7 @@
         }
         until(from + 300_000);
         long begin = scheduler.now();
+        startedAt = begin;
         for (int g = 0; g < scenario.gateways(); g++) {
             crowds.add(new Crowd(this, g, net.machine("c" + g), fork(), scenario.perSecond() / scenario.gateways(),
                     begin + scenario.length()));
@@ -601,6 +619,7 @@
 
     void asked(Asked a, int tried) {
         requests++;
+        wanted[window(a)] += a.type.worth();
         worthOf(a.type)[0]++;
         if (tried > 0) {
             retries.put(a.id, tried);
@@ -628,6 +647,14 @@
         int what = code == null ? now <= a.sentAt + a.type.aim() ? 1 : 2
                 : code.equals("53300") || code.equals("57P03") ? 3 : 4;
         worthOf(a.type)[what]++;
+        if (code == null) {
+            latency.recordValue(Math.max(0, now - a.sentAt));
+            kept[window(a)] += what == 1 ? a.type.worth() : a.type.worth() * a.type.lateShare();
+        }
+    }
+
+    private int window(Asked a) {
+        return (int) Math.min(kept.length - 1, Math.max(0, a.sentAt - startedAt) / WINDOW);
     }
 
     void unanswered(Asked a, String how) {
@@ -710,15 +737,15 @@
 
     private Result result() {
         Map<String, Worth> out = new TreeMap<>();
-        double kept = 0;
-        double wanted = 0;
+        double served = 0;
+        double due = 0;
         for (ClassSettings type : types) {
             long[] w = worthOf(type);
             out.put(type.name(), new Worth(w[0], w[1], w[2], w[3], w[4], w[5]));
-            kept += type.worth() * (w[1] + type.lateShare() * w[2]);
-            wanted += type.worth() * w[0];
+            served += type.worth() * (w[1] + type.lateShare() * w[2]);
+            due += type.worth() * w[0];
         }
-        return new Result(auditor.violations(), auditor.count(), out, wanted == 0 ? 1 : kept / wanted,
-                scheduler.count(), requests, HexFormat.of().formatHex(hash.digest()));
+        return new Result(auditor.violations(), auditor.count(), out, due == 0 ? 1 : served / due,
+                wanted, kept, latency, scheduler.count(), requests, HexFormat.of().formatHex(hash.digest()));
     }
 }
--- a/lab/src/main/java/shelffront/lab/world/Scenario.java
+++ b/lab/src/main/java/shelffront/lab/world/Scenario.java
@@ -68,6 +68,12 @@
                 List.copyOf(next));
     }
 
+    /** The same day by another seed. */
+    public Scenario of(long other) {
+        return new Scenario(other, gateways, sets, boxes, perSecond, length, figures, weather, listDelay, onceWrites,
+                faults);
+    }
+
     Scenario at(double rate, long shorter) {
         return new Scenario(seed, gateways, sets, boxes, perSecond * rate, Math.min(length, shorter), figures, weather,
                 listDelay, onceWrites, faults);
