--- a/lab/src/test/java/shelffront/lab/world/FleetTest.java
+++ b/lab/src/test/java/shelffront/lab/world/FleetTest.java
@@ -102,4 +102,42 @@
         assertEquals(List.of(), result.violations());
         assertTrue(result.worthKept() > 0.9, "worth kept " + result.worthKept());
     }
+
+    /** Four gateways, each by itself, before a box that starts cold: together they do not push it over. */
+    @Test
+    void gatewaysThatDoNotKnowOfEachOtherDoNotPushAColdBoxOver() {
+        Figures figures = new Figures(4, 60, 400, 5_000, 8_000, 0.5, 1_000, 20_000, 300, 0.21, 18 * SECOND, SECOND,
+                SECOND / 2, 2 * SECOND, Figures.Check.WAIT, 50_000, 1.5, 2 * SECOND, false);
+        Scenario day = new Scenario(8, 4, 1, 3, 900, 10 * SECOND, figures, new Weather(300, 700, 0.1),
+                SECOND / 2, false, List.of(new Fault(2 * SECOND, FaultKind.KILL_BOX, 1, SECOND / 4),
+                        new Fault(6 * SECOND, FaultKind.KILL_BOX, 2, SECOND / 4)));
+        Fleet.Result result = Fleet.play(day);
+        assertEquals(List.of(), result.violations());
+        assertTrue(result.worthKept() > 0.8, "worth kept " + result.worthKept());
+    }
+
+    /** Eight crowds come at once, each with more than its gateway has connections open: over a thousand together. */
+    @Test
+    void aThousandConnectionsAtOnceBreakNoRule() {
+        Fault[] bursts = new Fault[8];
+        for (int i = 0; i < bursts.length; i++) {
+            bursts[i] = new Fault(2 * SECOND, FaultKind.BURST, i, SECOND);
+        }
+        Fleet.Result result = Fleet.play(day(8, 2500, Figures.Check.REFUSE, false, bursts));
+        assertEquals(List.of(), result.violations());
+        assertTrue(result.requests() > 20_000, "requests " + result.requests());
+    }
+
+    /** The answer to a write is lost after it took effect: told failed or served by a repeat, never twice done. */
+    @Test
+    void aWriteWhoseAnswerIsLostIsNotDoneTwice() {
+        Fault[] resets = new Fault[12];
+        for (int i = 0; i < resets.length; i++) {
+            resets[i] = new Fault(SECOND + i * SECOND / 2, i % 2 == 0 ? FaultKind.RESET_BOX : FaultKind.SPOIL_BOX,
+                    i % 8, SECOND / 2);
+        }
+        Fleet.Result result = Fleet.play(day(2, 1000, Figures.Check.WAIT, false, resets));
+        assertEquals(List.of(), result.violations());
+        assertTrue(result.worth().get("once-write").failed() > 0, "no write's answer was lost");
+    }
 }
