--- a/lab/src/main/java/shelffront/lab/load/Relay.java
+++ b/lab/src/main/java/shelffront/lab/load/Relay.java
@@ -42,27 +42,27 @@
         return (InetSocketAddress) listener.getLocalAddress();
     }
 
-    /** What a handler does with a result, or with null where the operation failed. */
+    /** What a handler does with a result, which is null where the operation failed. */
     private interface Then<T> {
 
-        void take(T result) throws IOException;
+        void take(T result, boolean failed) throws IOException;
     }
 
     private static <T> CompletionHandler<T, Void> then(Then<T> then) {
         return new CompletionHandler<>() {
             @Override
             public void completed(T result, Void none) {
-                take(result);
+                take(result, false);
             }
 
             @Override
             public void failed(Throwable failure, Void none) {
-                take(null);
+                take(null, true);
             }
 
-            private void take(T result) {
+            private void take(T result, boolean failed) {
                 try {
-                    then.take(result);
+                    then.take(result, failed);
                 } catch (IOException e) {
                     throw new IllegalStateException(e);
                 }
@@ -71,8 +71,8 @@
     }
 
     private void accept() {
-        listener.accept(null, then((AsynchronousSocketChannel client) -> {
-            if (client == null) {
+        listener.accept(null, then((AsynchronousSocketChannel client, boolean over) -> {
+            if (over) {
                 return;
             }
             accept();
@@ -80,18 +80,22 @@
             client.setOption(StandardSocketOptions.TCP_NODELAY, true);
             open.add(client);
             open.add(host);
-            host.connect(to, null, CompletionConnected.of(() -> {
+            host.connect(to, null, then((Void none, boolean failed) -> {
+                if (failed) {
+                    end(client, host);
+                    return;
+                }
                 host.setOption(StandardSocketOptions.TCP_NODELAY, true);
                 copy(client, host, ByteBuffer.allocate(BUFFER));
                 copy(host, client, ByteBuffer.allocate(BUFFER));
-            }, () -> end(client, host)));
+            }));
         }));
     }
 
     private void copy(AsynchronousSocketChannel from, AsynchronousSocketChannel into, ByteBuffer buffer) {
         buffer.clear();
-        from.read(buffer, null, then((Integer count) -> {
-            if (count == null || count < 0) {
+        from.read(buffer, null, then((Integer count, boolean failed) -> {
+            if (failed || count < 0) {
                 end(from, into);
                 return;
             }
@@ -101,8 +105,8 @@
     }
 
     private void write(AsynchronousSocketChannel from, AsynchronousSocketChannel into, ByteBuffer buffer) {
-        into.write(buffer, null, then((Integer count) -> {
-            if (count == null) {
+        into.write(buffer, null, then((Integer count, boolean failed) -> {
+            if (failed) {
                 end(from, into);
             } else if (buffer.hasRemaining()) {
                 write(from, into, buffer);
@@ -127,35 +131,4 @@
         }
         group.shutdown();
     }
-
-    /** A connect's handler: its result is nothing either way, so success and failure need names. */
-    private record CompletionConnected(Step done, Step failed) implements CompletionHandler<Void, Void> {
-
-        private interface Step {
-
-            void run() throws IOException;
-        }
-
-        static CompletionConnected of(Step done, Step failed) {
-            return new CompletionConnected(done, failed);
-        }
-
-        @Override
-        public void completed(Void none, Void nothing) {
-            run(done);
-        }
-
-        @Override
-        public void failed(Throwable why, Void nothing) {
-            run(failed);
-        }
-
-        private static void run(Step step) {
-            try {
-                step.run();
-            } catch (IOException e) {
-                throw new IllegalStateException(e);
-            }
-        }
-    }
 }
--- a/lab/src/main/java/shelffront/lab/virtual/VirtualChannels.java
+++ b/lab/src/main/java/shelffront/lab/virtual/VirtualChannels.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 import java.util.function.UnaryOperator;
 import shelffront.net.Channels;
 
@@ -143,6 +144,23 @@
             }
         }
 
+        /** Ends a read or a write if it can: by a failure, by moving bytes where some can be moved, or at the end. */
+        private <A> boolean ends(CompletionHandler<Integer, ? super A> handler, A attachment, boolean movable,
+                boolean atEnd, IntSupplier move) {
+            if (closed) {
+                fail(handler, new AsynchronousCloseException(), attachment);
+            } else if (end.isReset()) {
+                fail(handler, new SocketException("Connection reset"), attachment);
+            } else if (movable) {
+                complete(handler, move.getAsInt(), attachment);
+            } else if (atEnd) {
+                complete(handler, -1, attachment);
+            } else {
+                return false;
+            }
+            return true;
+        }
+
         @Override
         public <A> void read(ByteBuffer into, long timeout, TimeUnit unit, A attachment,
                 CompletionHandler<Integer, ? super A> handler) {
@@ -150,21 +168,13 @@
                 throw new IllegalStateException("a read is out");
             }
             read = () -> {
-                if (closed) {
-                    read = null;
-                    fail(handler, new AsynchronousCloseException(), attachment);
-                } else if (end.isReset()) {
-                    read = null;
-                    fail(handler, new SocketException("Connection reset"), attachment);
-                } else if (end.available() > 0) {
-                    read = null;
+                if (ends(handler, attachment, end.available() > 0, end.atEnd(), () -> {
                     ByteBuffer some = ByteBuffer.allocate(net.some(Math.min(end.available(), into.remaining())));
                     end.read(some, some.remaining());
                     into.put(in.apply(some.array()));
-                    complete(handler, some.position(), attachment);
-                } else if (end.atEnd()) {
+                    return some.position();
+                })) {
                     read = null;
-                    complete(handler, -1, attachment);
                 }
             };
             read.run();
@@ -177,18 +187,13 @@
                 throw new IllegalStateException("a write is out");
             }
             write = () -> {
-                if (closed) {
-                    write = null;
-                    fail(handler, new AsynchronousCloseException(), attachment);
-                } else if (end.isReset()) {
-                    write = null;
-                    fail(handler, new SocketException("Broken pipe"), attachment);
-                } else if (end.room() > 0) {
-                    write = null;
+                if (ends(handler, attachment, end.room() > 0, false, () -> {
                     byte[] bytes = new byte[net.some(Math.min(end.room(), from.remaining()))];
                     from.get(bytes);
                     end.write(out.apply(bytes));
-                    complete(handler, bytes.length, attachment);
+                    return bytes.length;
+                })) {
+                    write = null;
                 }
             };
             write.run();
--- a/lab/src/main/java/shelffront/lab/world/Fleet.java
+++ b/lab/src/main/java/shelffront/lab/world/Fleet.java
@@ -456,9 +456,7 @@
             return;
         }
         traced("kill", box.id(), "", "");
-        setOf(box).kill(box);
-        boxMachines.get(box.id()).resetAll();
-        catalogue.change(line(box, "Gone"), scenario.listDelay());
+        end(box);
         scheduler.after(time, () -> {
             if (boxes.containsKey(box.id())) {
                 setOf(box).restart(box);
@@ -467,6 +465,13 @@
         });
     }
 
+    /** Its process ends, and the list says so when it knows. */
+    private void end(Box box) {
+        setOf(box).kill(box);
+        boxMachines.get(box.id()).resetAll();
+        catalogue.change(line(box, "Gone"), scenario.listDelay());
+    }
+
     /** A planned replacement: it drains, ends, and a new box with another id takes its place. */
     private void drain(Box box, long time) {
         if (!box.isUp() || box.isDraining()) {
@@ -481,9 +486,7 @@
         catalogue.change(line(next, "Ready"), scenario.listDelay());
         scheduler.after(3_000_000 + time, () -> {
             if (box.isUp()) {
-                set.kill(box);
-                boxMachines.get(box.id()).resetAll();
-                catalogue.change(line(box, "Gone"), scenario.listDelay());
+                end(box);
             }
             boxes.remove(box.id());
         });
