--- a/lab/src/main/java/shelffront/lab/experiment/VirtualExperiment.java
+++ b/lab/src/main/java/shelffront/lab/experiment/VirtualExperiment.java
@@ -186,7 +186,8 @@
                         s.path("chop").asDouble(0.1)), micros(s, "listDelaySeconds", 1),
                 s.path("onceWrites").asBoolean(false), new Means(s.path("sockets").asInt(1024),
                 s.path("gatewayWorkUs").asLong(0), s.path("gatewayPauses").asDouble(0),
-                s.path("tenants").asInt(0), s.path("loops").asInt(1)), List.copyOf(faults));
+                s.path("tenants").asInt(0), s.path("loops").asInt(1),
+                s.path("clientConnections").asInt(150)), List.copyOf(faults));
     }
 
     private static long micros(JsonNode object, String name, double absent) {
--- a/lab/src/main/java/shelffront/lab/world/Crowd.java
+++ b/lab/src/main/java/shelffront/lab/world/Crowd.java
@@ -16,7 +16,6 @@
 final class Crowd implements ClientTalker.Caller<Asked> {
 
     private static final int SESSIONS = 200;
-    private static final int MOST_CONNECTIONS = 150;
     private static final int MOST_RETRIES = 2;
     private static final long PATIENCE = 100_000;   // Beyond its time a client looks whether an answer comes late.
 
@@ -77,7 +76,7 @@
         if (connection == null && !fleet.takesConnections(gateway)) {
             return;                          // the front sends nobody there any more
         }
-        if (connection == null && connections.size() >= MOST_CONNECTIONS) {
+        if (connection == null && connections.size() >= fleet.scenario().means().connections()) {
             fleet.notAsked(type);
             return;
         }
--- a/lab/src/main/java/shelffront/lab/world/Scenario.java
+++ b/lab/src/main/java/shelffront/lab/world/Scenario.java
@@ -40,14 +40,15 @@
      * @param pauses a second, of 5 to 60 ms each, as of a collector
      * @param tenants of a hosted gateway; 0 for the single one of a platform's file
      * @param loops turn loops of a hosted gateway
+     * @param connections that its clients open at most to ask what is due; without one a request is not asked
      */
-    public record Means(int sockets, long work, double pauses, int tenants, int loops) {
+    public record Means(int sockets, long work, double pauses, int tenants, int loops, int connections) {
 
-        public static final Means PLAIN = new Means(1024, 0, 0, 0, 1);
+        public static final Means PLAIN = new Means(1024, 0, 0, 0, 1, 150);
 
         /** A hosted gateway. */
         public static Means hosted(int tenants, int loops) {
-            return new Means(2048, 0, 0, tenants, loops);
+            return new Means(2048, 0, 0, tenants, loops, 150);
         }
     }
 
@@ -82,7 +83,7 @@
         return new Scenario(seed, gateways, sets, boxes, Math.min(600, perSecond), length, figures, weather,
                 200_000 + r.nextInt((int) (2 * SECOND)), r.nextInt(3) == 0,
                 new Means(r.nextInt(4) == 0 ? 256 : 1024, r.nextInt(2) == 0 ? 0 : 10 + r.nextInt(90),
-                        r.nextInt(3) == 0 ? r.nextDouble() : 0, Math.max(0, r.nextInt(8) - 4), 1 + r.nextInt(3)),
+                        r.nextInt(3) == 0 ? r.nextDouble() : 0, Math.max(0, r.nextInt(8) - 4), 1 + r.nextInt(3), 150),
                 List.copyOf(faults));
     }
 
