Keep one agenda for both of the lab's clocks, and one way for a tenant to succeed another

Virtual and real time each had a queue of events of their own; the tenants linked a successor in two ways; a box was kept busy, a crowd connected and a request counted in two places each; a client's requests were cast; `report` wrote the runs anew, so that runs which ended meanwhile could be lost; a load that ended with requests still waiting counted them as unanswered in all, but in no class.

Change: carrier.Agenda; ClientTalker by the type of its requests; Tenants.succeed for both cases; DatabaseSet.occupy, Crowd.connect, Load.due; only a run orders its runs; a load ends what waits class by class. Network.with says again when completions on several threads are allowed.

--- a/gateway/src/main/java/shelffront/net/Network.java
+++ b/gateway/src/main/java/shelffront/net/Network.java
@@ -20,7 +20,10 @@
         return new Network(loop, channels, budget, counters, log, loop.common(), "");
     }
 
-    /** A view on other channels, as on some whose completions run on several threads. */
+    /**
+     * A view on other channels. Where their completions run on several threads it is only for connections that need
+     * not see a write's completion before the answer to it, as a listener's before several loops.
+     */
     public Network with(Channels other) {
         return new Network(loop, other, budget, counters, log, flow, tenant);
     }
--- a/gateway/src/main/java/shelffront/tenant/Tenants.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenants.java
@@ -26,8 +26,7 @@
     private final Shares shares;
     private final Holdings hostSockets;
     private final Map<String, Tenant> tenants = new HashMap<>();
-    /** Removed or replaced, with work that is not over. */
-    /** Those that end their work, in the order in which they were told to, and who waits for that. */
+    /** Removed or replaced, with work that is not over, the first told first; and who waits for its end. */
     private final Map<Tenant, List<Runnable>> leaving = new LinkedHashMap<>();
     private long seed;
 
@@ -50,19 +49,15 @@
                 hostSockets, shares);
         tenants.put(spec.id(), next);
         if (running == null) {
-            succeed(next);
             inForce.accept(network.loop().now());
-            return;
+        } else {
+            // What it asks for only a new module can do: this one serves from now on, that one ends what it has.
+            leave(running, spec.grace(), inForce);
         }
-        // What it asks for only a new module can do: this one serves from now on, that one ends what it has.
-        next.succeeds();
-        leave(running, spec.grace(), at -> {
-            next.predecessorGone();
-            inForce.accept(at);
-        });
+        succeed(next);
     }
 
-    /** Sessions may have written under its name before it was made: what is still ending here, and what is over. */
+    /** Sessions may have written under its name before: through one that still ends its work here, or is gone. */
     private void succeed(Tenant next) {
         next.succeeds();
         Tenant before = null;
--- a/lab/src/main/java/shelffront/lab/carrier/SocketCarrier.java
+++ b/lab/src/main/java/shelffront/lab/carrier/SocketCarrier.java
@@ -14,7 +14,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
@@ -31,21 +30,13 @@
  */
 public final class SocketCarrier implements Carrier, Clock, AutoCloseable {
 
-    private record Event(long at, long order, Runnable task) implements Comparable<Event> {
-
-        @Override
-        public int compareTo(Event other) {
-            return at != other.at ? Long.compare(at, other.at) : Long.compare(order, other.order);
-        }
-    }
-
     private static final int BACKLOG = 4096;
     private static final int CHUNK = 16 * 1024;
     private static final long CHECK_MILLIS = 100;
     /** Closer than this a wait could only end too late: a selector waits whole milliseconds. */
     private static final long TOO_SHORT = 1_200;
 
-    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final Agenda events = new Agenda();
     private final Queue<Runnable> posted = new ConcurrentLinkedQueue<>();
     private final Selector selector;
     private final ByteBuffer into = ByteBuffer.allocateDirect(CHUNK);
@@ -53,7 +44,6 @@
     private final Histogram lateness = new ConcurrentHistogram(60_000_000L, 3);
     private volatile boolean closed;
     private volatile RuntimeException failure;
-    private long order;
 
     /** Its thread is a daemon, which ends with {@link #close}. */
     public SocketCarrier(String name) throws IOException {
@@ -79,7 +69,8 @@
     }
 
     private void turn() throws IOException {
-        long wait = events.isEmpty() ? Long.MAX_VALUE : events.peek().at - now();
+        long next = events.next();
+        long wait = next == Long.MAX_VALUE ? next : next - now();
         if (!posted.isEmpty() || wait < TOO_SHORT) {
             selector.selectNow();
         } else {
@@ -93,10 +84,9 @@
             task.run();
         }
         long now = now();
-        while (!events.isEmpty() && events.peek().at <= now) {
-            Event event = events.poll();
-            lateness.recordValue(Math.min(lateness.getHighestTrackableValue(), now - event.at));
-            event.task.run();
+        while (events.next() <= now) {
+            lateness.recordValue(Math.min(lateness.getHighestTrackableValue(), now - events.next()));
+            events.poll().run();
         }
         if (wait < TOO_SHORT) {
             Thread.onSpinWait();
@@ -138,7 +128,7 @@
 
     @Override
     public void at(long time, Runnable task) {
-        events.add(new Event(time, order++, task));
+        events.add(time, task);
     }
 
     /** Microseconds from when tasks were due until they ran. */
--- a/lab/src/main/java/shelffront/lab/experiment/KeptRun.java
+++ b/lab/src/main/java/shelffront/lab/experiment/KeptRun.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Base64;
 import java.util.zip.DataFormatException;
@@ -41,7 +42,7 @@
                     j.path("worthKept").asDouble(), j.path("broken").asInt(), j.path("hash").asText(),
                     j.path("classes"), SpecJson.JSON.treeToValue(j.path("wanted"), double[].class),
                     SpecJson.JSON.treeToValue(j.path("kept"), double[].class), latency);
-        } catch (java.io.IOException | DataFormatException | RuntimeException e) {
+        } catch (IOException | DataFormatException | RuntimeException e) {
             return null;
         }
     }
--- a/lab/src/main/java/shelffront/lab/experiment/RunLog.java
+++ b/lab/src/main/java/shelffront/lab/experiment/RunLog.java
@@ -6,6 +6,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -65,10 +66,8 @@
         Files.createDirectories(directory);
         RunLog log = new RunLog(directory.resolve(RUNS));
         Path file = directory.resolve(EXPERIMENT);
-        Path by = directory.resolve(PROGRAM);
-        String program = program();
         String text = experiment.toPrettyString() + "\n";
-        if (Files.exists(log.runs) && has(file, text) && (reading || has(by, program))) {
+        if (Files.exists(log.runs) && has(file, text) && (reading || has(directory.resolve(PROGRAM), program()))) {
             for (String line : Files.readAllLines(log.runs)) {
                 KeptRun run = KeptRun.read(line);
                 if (run != null) {
@@ -80,13 +79,20 @@
             return log;
         }
         Files.writeString(file, text);
-        Files.writeString(by, program);
-        StringBuilder whole = new StringBuilder();
-        log.known.values().forEach(r -> whole.append(r.line()).append('\n'));
-        Files.writeString(log.runs, whole);
+        Files.writeString(directory.resolve(PROGRAM), program());
+        log.inOrder(log.known.values());
         return log;
     }
 
+    /** Writes all runs anew in this order, whichever ended first. */
+    synchronized void inOrder(Collection<KeptRun> all) throws IOException {
+        if (runs != null) {
+            StringBuilder whole = new StringBuilder();
+            all.forEach(r -> whole.append(r.line()).append('\n'));
+            Files.writeString(runs, whole);
+        }
+    }
+
     synchronized KeptRun get(String level, int seed) {
         return known.get(level + "/" + seed);
     }
--- a/lab/src/main/java/shelffront/lab/experiment/VirtualExperiment.java
+++ b/lab/src/main/java/shelffront/lab/experiment/VirtualExperiment.java
@@ -75,6 +75,7 @@
         VirtualExperiment experiment = new VirtualExperiment(file);
         RunLog log = RunLog.open(directory, file);
         experiment.play(log);
+        log.inOrder(experiment.levels.stream().flatMap(l -> l.runs().stream()).toList());
         return experiment.told(directory);
     }
 
@@ -187,7 +188,7 @@
                 s.path("onceWrites").asBoolean(false), new Means(s.path("sockets").asInt(1024),
                 s.path("gatewayWorkUs").asLong(0), s.path("gatewayPauses").asDouble(0),
                 s.path("tenants").asInt(0), s.path("loops").asInt(1),
-                s.path("clientConnections").asInt(150)), List.copyOf(faults));
+                s.path("clientConnections").asInt(Means.PLAIN.connections())), List.copyOf(faults));
     }
 
     private static long micros(JsonNode object, String name, double absent) {
@@ -244,18 +245,14 @@
     // ---- What is kept -----------------------------------------------------------------------------------------
 
     private void keep(Path directory) throws IOException {
-        StringBuilder runs = new StringBuilder();
         StringBuilder csv = new StringBuilder("level,seed,requests,worth_kept,p50_ms,p99_ms,broken,hash\n");
         for (Level l : levels) {
             for (KeptRun r : l.runs()) {
-                runs.append(r.line()).append('\n');
                 csv.append(String.format(Locale.ROOT, "%s,%d,%d,%.5f,%.3f,%.3f,%d,%s%n", l.name(), r.seed(),
                         r.requests(), r.worthKept(), r.latency().getValueAtPercentile(50) / 1e3,
                         r.latency().getValueAtPercentile(99) / 1e3, r.broken(), r.hash().substring(0, 16)));
             }
         }
-        // In their order now, whichever ended first.
-        Files.writeString(directory.resolve(RunLog.RUNS), runs);
         Files.writeString(directory.resolve("runs.csv"), csv);
         List<String> lines = new ArrayList<>(table);
         lines.add("");
--- a/lab/src/main/java/shelffront/lab/load/ClientTalker.java
+++ b/lab/src/main/java/shelffront/lab/load/ClientTalker.java
@@ -9,23 +9,27 @@
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
 
-/** A client's connection: one request at a time, whose answer it waits for until its time is up. */
-public final class ClientTalker extends Talker {
-
-    /** Whose connection it is. {@code R} is what stands for a request there. */
+/**
+ * A client's connection: one request at a time, whose answer it waits for until its time is up.
+ *
+ * @param <R> what stands for a request with those whose connection it is
+ */
+public final class ClientTalker<R> extends Talker {
+
+    /** Whose connection it is. */
     public interface Caller<R> {
 
         /** It has been let in. */
-        default void welcomed(ClientTalker by) { }
+        default void welcomed(ClientTalker<R> by) { }
 
         /** An answer: a code where it is an error, the value else; when it was told to come back, in microseconds. */
-        void answered(ClientTalker by, R request, String value, String code, long retryAfter);
+        void answered(ClientTalker<R> by, R request, String value, String code, long retryAfter);
 
         /** Its time is up and nothing has come; the connection was given up. */
-        void late(ClientTalker by, R request);
+        void late(ClientTalker<R> by, R request);
 
         /** The connection has ended, with a request open or null. */
-        void left(ClientTalker by, R request, boolean reset);
+        void left(ClientTalker<R> by, R request, boolean reset);
 
         /** What no gateway may send. */
         void malformed(String why);
@@ -34,10 +38,10 @@
     private static final int CLEAR_TEXT = 3;
 
     private final Carrier carrier;
-    private final Caller<Object> caller;
+    private final Caller<R> caller;
     private final String database;
     private final String password;
-    private Object current;
+    private R current;
     private String value;
     private String code;
     private long retryAfter;
@@ -45,11 +49,10 @@
     private boolean asksNothing;
 
     /** Connects as a user to a database; the password is null where none is to be asked for. */
-    @SuppressWarnings("unchecked")
     public ClientTalker(Carrier carrier, InetSocketAddress gateway, String user, String database, String password,
-            Caller<?> caller) {
+            Caller<R> caller) {
         this.carrier = carrier;
-        this.caller = (Caller<Object>) caller;
+        this.caller = caller;
         this.database = database;
         this.password = password;
         end = carrier.connect(gateway, this);
@@ -70,12 +73,12 @@
     }
 
     /** What it waits for, or null. */
-    public Object current() {
+    public R current() {
         return current;
     }
 
     /** Sends a request; it may go right behind the startup. */
-    public void ask(Object request, byte[] statement, long giveUpAt) {
+    public void ask(R request, byte[] statement, long giveUpAt) {
         current = request;
         value = null;
         code = null;
@@ -148,7 +151,7 @@
         if (value == null && code == null) {
             return;
         }
-        Object done = current;
+        R done = current;
         current = null;
         if (done == null) {
             if (!asksNothing) {
@@ -170,7 +173,7 @@
 
     @Override
     protected void ended(boolean reset) {
-        Object lost = current;
+        R lost = current;
         current = null;
         caller.left(this, lost, reset);
     }
--- a/lab/src/main/java/shelffront/lab/load/Load.java
+++ b/lab/src/main/java/shelffront/lab/load/Load.java
@@ -142,8 +142,8 @@
     private final double perSecond;
     private final int most;
     private final UniformRandomProvider random;
-    private final Set<ClientTalker> connections = new LinkedHashSet<>();
-    private final ArrayDeque<ClientTalker> free = new ArrayDeque<>();
+    private final Set<ClientTalker<Request>> connections = new LinkedHashSet<>();
+    private final ArrayDeque<ClientTalker<Request>> free = new ArrayDeque<>();
     private final ArrayDeque<Request> waiting = new ArrayDeque<>();
     private final Result result = new Result();
     private Arrivals arrivals;
@@ -247,7 +247,7 @@
 
     private void connect() {
         if (connections.size() < most && !over) {
-            connections.add(new ClientTalker(carrier, gateway, tenant, tenant, password, this));
+            connections.add(new ClientTalker<>(carrier, gateway, tenant, tenant, password, this));
         }
     }
 
@@ -255,12 +255,17 @@
 
     private void ask(Request r) {
         open++;
+        due(r, 1);
+        send(r);
+    }
+
+    /** Counts a request as due, or, with -1, as not due after all. */
+    private void due(Request r, int sign) {
         for (Tally t : tallies(r)) {
-            t.due++;
-            t.worthDue += r.kind.worth();
+            t.due += sign;
+            t.worthDue += sign * r.kind.worth();
         }
-        window(r)[0] += r.kind.worth();
-        send(r);
+        window(r)[0] += sign * r.kind.worth();
     }
 
     private Tally[] tallies(Request r) {
@@ -280,7 +285,7 @@
     }
 
     private void send(Request r) {
-        ClientTalker connection = free.poll();
+        ClientTalker<Request> connection = free.poll();
         while (connection != null && !connection.isFree()) {
             connection = free.poll();
         }
@@ -303,15 +308,11 @@
         connection.ask(r, ClientTalker.statement(r.id + (r.tries > 1 ? "." + r.tries : ""), r.kind.name(), left, r.id,
                 1, r.session, r.kind.write()), giveUpAt(r));
         if (habits.hangUp() > 0 && random.nextDouble() < habits.hangUp()) {
-            ClientTalker hanging = connection;
+            ClientTalker<Request> hanging = connection;
             carrier.clock().after(1 + random.nextInt(r.kind.aimMs() * 1000), () -> {
                 if (hanging.current() == r) {
                     hanging.hangUp();
-                    for (Tally t : tallies(r)) {
-                        t.due--;
-                        t.worthDue -= r.kind.worth();
-                    }
-                    window(r)[0] -= r.kind.worth();
+                    due(r, -1);
                     ended(r, t -> t.hungUp++);
                     gone(hanging);
                 }
@@ -327,7 +328,7 @@
         endIfDone();
     }
 
-    private void next(ClientTalker connection) {
+    private void next(ClientTalker<Request> connection) {
         if (connection.isFree()) {
             free.add(connection);
         }
@@ -337,7 +338,7 @@
         }
     }
 
-    private void gone(ClientTalker connection) {
+    private void gone(ClientTalker<Request> connection) {
         connections.remove(connection);
         free.remove(connection);
         carrier.clock().after(RECONNECT, this::connect);
@@ -346,12 +347,12 @@
     // ---- What connections tell --------------------------------------------------------------------------------
 
     @Override
-    public void welcomed(ClientTalker by) {
+    public void welcomed(ClientTalker<Request> by) {
         next(by);
     }
 
     @Override
-    public void answered(ClientTalker by, Request r, String value, String code, long retryAfter) {
+    public void answered(ClientTalker<Request> by, Request r, String value, String code, long retryAfter) {
         long now = carrier.clock().now();
         long took = now - r.due;
         if (code != null) {
@@ -402,13 +403,13 @@
     }
 
     @Override
-    public void late(ClientTalker by, Request r) {
+    public void late(ClientTalker<Request> by, Request r) {
         ended(r, t -> t.unanswered++);
         gone(by);
     }
 
     @Override
-    public void left(ClientTalker by, Request r, boolean reset) {
+    public void left(ClientTalker<Request> by, Request r, boolean reset) {
         if (r != null) {
             ended(r, t -> t.unanswered++);
         }
@@ -434,8 +435,10 @@
         }
         over = true;
         // What no connection came to in its time has had no answer.
-        result.all.unanswered += open;
-        for (ClientTalker c : List.copyOf(connections)) {
+        for (Request r = waiting.poll(); r != null; r = waiting.poll()) {
+            ended(r, t -> t.unanswered++);
+        }
+        for (ClientTalker<Request> c : List.copyOf(connections)) {
             c.asksNothing();
             c.close();
         }
--- a/lab/src/main/java/shelffront/lab/model/DatabaseSet.java
+++ b/lab/src/main/java/shelffront/lab/model/DatabaseSet.java
@@ -138,14 +138,7 @@
 
         /** Begins with nothing for a while; what it works on goes on. */
         public void pause(long time) {
-            busy += figures.cores();
-            int mine = life;
-            clock.after(time, () -> {
-                if (mine == life) {
-                    busy -= figures.cores();
-                    look();
-                }
-            });
+            occupy(figures.cores(), time);
         }
 
         /** Takes a request; the answer comes later, unless the process ends first. */
@@ -170,11 +163,15 @@
         /** A connection costs a core some time. */
         public void handshake() {
             weigh(figures.handshake());
-            busy++;
+            occupy(1, figures.handshake());
+        }
+
+        private void occupy(int cores, long time) {
+            busy += cores;
             int mine = life;
-            clock.after(figures.handshake(), () -> {
+            clock.after(time, () -> {
                 if (mine == life) {
-                    busy--;
+                    busy -= cores;
                     look();
                 }
             });
--- a/lab/src/main/java/shelffront/lab/world/Crowd.java
+++ b/lab/src/main/java/shelffront/lab/world/Crowd.java
@@ -26,7 +26,7 @@
     private final ZigguratSampler.Exponential gaps;
     private final double perSecond;
     private final long until;
-    private final Set<ClientTalker> connections = new LinkedHashSet<>();
+    private final Set<ClientTalker<Asked>> connections = new LinkedHashSet<>();
     private double factor = 1;
     private long asked;
 
@@ -71,7 +71,7 @@
             return;
         }
         String database = database(session.hashCode());
-        ClientTalker connection = connections.stream().filter(c -> c.isFree() && c.database().equals(database))
+        ClientTalker<Asked> connection = connections.stream().filter(c -> c.isFree() && c.database().equals(database))
                 .findFirst().orElse(null);
         if (connection == null && !fleet.takesConnections(gateway)) {
             return;                          // the front sends nobody there any more
@@ -81,8 +81,7 @@
             return;
         }
         if (connection == null) {
-            connection = new ClientTalker(fleet.net().on(machine), fleet.gatewayAddress(gateway), "api", database, null,
-                    this);
+            connection = connect(database);
             connections.add(connection);
         }
         long now = fleet.clock().now();
@@ -94,6 +93,10 @@
                 set + "/" + session, type.writes()), now + type.deadline() + PATIENCE);
     }
 
+    private ClientTalker<Asked> connect(String database) {
+        return new ClientTalker<>(fleet.net().on(machine), fleet.gatewayAddress(gateway), "api", database, null, this);
+    }
+
     /** A session is one tenant's, as is a connection. */
     private String database(int number) {
         int tenants = fleet.scenario().means().tenants();
@@ -110,7 +113,7 @@
 
     /** A read of one's own write comes soon behind it; what was refused is asked again when it was told to. */
     @Override
-    public void answered(ClientTalker by, Asked a, String value, String error, long retryAfter) {
+    public void answered(ClientTalker<Asked> by, Asked a, String value, String error, long retryAfter) {
         fleet.answered(a, value, error);
         if (error == null && a.type.writes() && random.nextDouble() < 0.6) {
             ClassSettings own = fleet.types().stream().filter(t -> t.read() == Read.SESSION).findFirst().orElseThrow();
@@ -125,13 +128,13 @@
     }
 
     @Override
-    public void late(ClientTalker by, Asked a) {
+    public void late(ClientTalker<Asked> by, Asked a) {
         fleet.unanswered(a, "had no answer in time");
         connections.remove(by);
     }
 
     @Override
-    public void left(ClientTalker by, Asked a, boolean reset) {
+    public void left(ClientTalker<Asked> by, Asked a, boolean reset) {
         connections.remove(by);
         if (a != null) {
             fleet.lost(a, reset);
@@ -145,7 +148,7 @@
 
     /** A part of those who wait hang up. */
     void hangUp() {
-        for (ClientTalker c : List.copyOf(connections)) {
+        for (ClientTalker<Asked> c : List.copyOf(connections)) {
             if (!c.isFree() && random.nextInt(3) == 0) {
                 excuse(c);
                 c.hangUp();
@@ -156,7 +159,7 @@
 
     /** A part of them read nothing for a while. */
     void stall(long time) {
-        for (ClientTalker c : List.copyOf(connections)) {
+        for (ClientTalker<Asked> c : List.copyOf(connections)) {
             if (random.nextInt(3) == 0) {
                 c.stall(true);
                 excuse(c);
@@ -171,23 +174,22 @@
     /** So many more connect at once and ask nothing for a while; then all leave. */
     void idle(int count, long time) {
         for (int i = 0; i < count && fleet.takesConnections(gateway); i++) {
-            ClientTalker c = new ClientTalker(fleet.net().on(machine), fleet.gatewayAddress(gateway), "api",
-                    database(i), null, this);
+            ClientTalker<Asked> c = connect(database(i));
             c.asksNothing();
             fleet.clock().after(time + random.nextInt(10_000), c::close);
         }
     }
 
     /** What it waits for may be late by its own fault. */
-    private void excuse(ClientTalker c) {
+    private void excuse(ClientTalker<Asked> c) {
         if (c.current() != null) {
-            fleet.auditor().excuse((Asked) c.current());
+            fleet.auditor().excuse(c.current());
         }
     }
 
     /** Ends what is open once nothing more is asked. */
     void end() {
-        for (ClientTalker c : List.copyOf(connections)) {
+        for (ClientTalker<Asked> c : List.copyOf(connections)) {
             c.asksNothing();
             c.close();
         }
--- a/lab/src/main/java/shelffront/lab/world/Fleet.java
+++ b/lab/src/main/java/shelffront/lab/world/Fleet.java
@@ -313,9 +313,12 @@
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException("every Java platform has SHA-256", e);
         }
+        InetSocketAddress discovery = net.newAddress();
+        otherDiscovery = net.newAddress();
         try {
-            catalogue = new Catalogue(net.on(net.machine("catalogue")), net.newAddress(),
+            catalogue = new Catalogue(net.on(net.machine("catalogue")), discovery,
                     (to, some, complete) -> told(((End) to).other().machine(), some, complete));
+            catalogue.listen(otherDiscovery);
         } catch (IOException e) {
             throw new IllegalStateException("the virtual network takes every listener", e);
         }
@@ -332,12 +335,6 @@
             gatewayAddresses.add(net.newAddress());
         }
         rude = net.machine("rude");
-        otherDiscovery = net.newAddress();
-        try {
-            catalogue.listen(otherDiscovery);
-        } catch (IOException e) {
-            throw new IllegalStateException("the virtual network takes every listener", e);
-        }
         if (scenario.means().pauses() > 0) {
             scheduler.after(pauseGap(), this::pauseOne);
         }
--- a/lab/src/main/java/shelffront/lab/world/Scenario.java
+++ b/lab/src/main/java/shelffront/lab/world/Scenario.java
@@ -44,11 +44,13 @@
      */
     public record Means(int sockets, long work, double pauses, int tenants, int loops, int connections) {
 
-        public static final Means PLAIN = new Means(1024, 0, 0, 0, 1, 150);
+        private static final int CONNECTIONS = 150;
+
+        public static final Means PLAIN = new Means(1024, 0, 0, 0, 1, CONNECTIONS);
 
         /** A hosted gateway. */
         public static Means hosted(int tenants, int loops) {
-            return new Means(2048, 0, 0, tenants, loops, 150);
+            return new Means(2048, 0, 0, tenants, loops, CONNECTIONS);
         }
     }
 
@@ -83,7 +85,8 @@
         return new Scenario(seed, gateways, sets, boxes, Math.min(600, perSecond), length, figures, weather,
                 200_000 + r.nextInt((int) (2 * SECOND)), r.nextInt(3) == 0,
                 new Means(r.nextInt(4) == 0 ? 256 : 1024, r.nextInt(2) == 0 ? 0 : 10 + r.nextInt(90),
-                        r.nextInt(3) == 0 ? r.nextDouble() : 0, Math.max(0, r.nextInt(8) - 4), 1 + r.nextInt(3), 150),
+                        r.nextInt(3) == 0 ? r.nextDouble() : 0, Math.max(0, r.nextInt(8) - 4), 1 + r.nextInt(3),
+                        Means.CONNECTIONS),
                 List.copyOf(faults));
     }
 
