--- a/gateway/src/main/java/shelffront/server/Report.java
+++ b/gateway/src/main/java/shelffront/server/Report.java
@@ -8,7 +8,10 @@
 import shelffront.route.Router.Load;
 import shelffront.route.Router.Role;
 
-/** A host's report on itself: {@code x0=1767225600.123,x1=0,queue=3}. */
+/**
+ * A host's report on itself: {@code x0=1767225600.123,x1=0,queue=3}, the position in Unix seconds (PROTOCOL: "every
+ * position on sockets, including those in load reports (given there in seconds), is a Unix time").
+ */
 final class Report {
 
     private static final int GREATEST = 1024;
@@ -36,6 +39,12 @@
                 role = Double.parseDouble(field.group(2)) >= 0.5 ? Role.PRIMARY : Role.REPLICA;
             }
         }
+        if (position == 0) {
+            // A Unix time of 0 is this protocol's "none" (as in up_since_ms): a host that has made no report yet
+            // answers a probe with zeros. Taken as figures, they made every replica look 56 years behind and the
+            // primary a replica, and a gateway with little traffic heard nothing better for seconds.
+            return new Load(Router.UNKNOWN, Role.UNKNOWN, -1, -1, -1);
+        }
         return new Load(position, role, -1, -1, -1);
     }
 
@@ -43,8 +52,10 @@
         return "writer".equals(word) ? Role.PRIMARY : "reader".equals(word) ? Role.REPLICA : Role.UNKNOWN;
     }
 
-    /** A position on the wire, in Unix milliseconds. */
+    /** A position on the wire, in Unix milliseconds; 0, like what can't be read, is none. */
     static long position(String milliseconds) {
-        return milliseconds == null ? Router.UNKNOWN : Statement.position(milliseconds).orElse(Router.UNKNOWN);
+        long position = milliseconds == null ? Router.UNKNOWN
+                : Statement.position(milliseconds).orElse(Router.UNKNOWN);
+        return position == 0 ? Router.UNKNOWN : position;
     }
 }
--- a/gateway/src/test/java/shelffront/server/ReportTest.java
+++ b/gateway/src/test/java/shelffront/server/ReportTest.java
@@ -26,6 +26,16 @@
         }
     }
 
+    /** Seen on the fleet bench: every host's first probe said this, and primaries were taken for replicas. */
+    @Test
+    public void aReportOfZerosTellsNeitherPositionNorRole() {
+        for (String text : new String[] {"x0=0.000,x1=0,backlog=0", "x0=0,x1=1", "x0=0.0"}) {
+            assertEquals(text, new Load(Router.UNKNOWN, Role.UNKNOWN, -1, -1, -1), Report.read(text));
+        }
+        assertEquals(new Load(1_000_000L, Role.REPLICA, -1, -1, -1), Report.read("x0=1,x1=0"));
+        assertEquals(Router.UNKNOWN, Report.position("0"));
+    }
+
     @Test
     public void positionsOnTheWireAreWholeMilliseconds() {
         assertEquals(1_767_225_600_123_000L, Report.position("1767225600123"));
