--- a/core/src/test/java/shelffront/fleet/ColdBudgetTest.java
+++ b/core/src/test/java/shelffront/fleet/ColdBudgetTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
 import java.util.SplittableRandom;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -132,6 +135,57 @@
         assertTrue(sent <= mayHave * 1.1, sent + " sent where " + mayHave + " may be");
     }
 
+    /** What a cold host of a set of five gets in the worst fall time of a play, over what pushes it over. */
+    private static double worstOverBound(int gateways, double capacity, double use, double warmth, boolean leastShare) {
+        double fallSeconds = 2;
+        double multiple = 3;
+        double each = capacity * use * 5 / gateways;
+        double n = multiple * warmth * capacity * fallSeconds;
+        double bound = n + 3 * Math.sqrt(n) + 3;
+        List<Double> sends = new ArrayList<>();
+        SplittableRandom random = new SplittableRandom(gateways * 1_000L + (long) (capacity * 10 + warmth * 100));
+        for (int g = 0; g < gateways; g++) {
+            ColdBudget budget = new ColdBudget(fallSeconds);
+            double at = 0;
+            while ((at += -Math.log(1 - random.nextDouble()) / each) < 220) {
+                long now = (long) (at * SECOND);
+                budget.asked(now, false);
+                double usual = each * ColdBudget.WINDOW / 5 + 1.0 / 5;
+                double may = budget.budget(now, warmth, multiple, leastShare ? Math.max(10, usual) : usual, false);
+                if (at > 20 && budget.admits(now, g + "-" + at, false, false, true, 0, may)) {
+                    sends.add(at);
+                }
+            }
+        }
+        Collections.sort(sends);
+        int most = 0;
+        for (int first = 0, last = 0; last < sends.size(); last++) {
+            while (sends.get(last) - sends.get(first) > fallSeconds) {
+                first++;
+            }
+            most = Math.max(most, last - first + 1);
+        }
+        return most / bound;
+    }
+
+    /**
+     * The operators' bound: a cold host falls at N + 3 x root of N + 3 requests in the fall time, N being what the
+     * settings allow it, from all gateways. The root counts most where N is small and gateways are many.
+     */
+    @Test
+    void aHundredGatewaysTogetherStayUnderWhatPushesAHostOver() {
+        double worst = 0;
+        for (int gateways : new int[] {5, 20, 100}) {
+            for (double capacity : new double[] {0.5, 2, 10, 50}) {
+                for (double warmth : new double[] {0.18, 0.5, 0.9}) {
+                    worst = Math.max(worst, worstOverBound(gateways, capacity, 1, warmth, false));
+                }
+            }
+        }
+        assertTrue(worst < 0.9, "at full load the worst of 200 s came to " + worst + " of the bound");
+        assertTrue(worstOverBound(100, 10, 1, 0.18, true) > 1, "a least share for each gateway pushes it over");
+    }
+
     @Test
     void aJumpOfDemandCountsAtOnce() {
         Asked a = traffic(new SplittableRandom(5), 2, 0);
--- a/gateway/src/main/java/shelffront/discovery/Discovery.java
+++ b/gateway/src/main/java/shelffront/discovery/Discovery.java
@@ -19,14 +19,33 @@
         void failed();
     }
 
+    /** A watch on which nothing changes writes an empty line as often, in microseconds (the platform's protocol). */
+    private static final long LINE_EVERY = 2_000_000;
+    /** A loop that is busy, or a network that is, may be as late with a line. */
+    private static final long LATE = 500_000;
+
     private final Network network;
     private final Listener listener;
+    private final long mostSilence;
     private InetSocketAddress address;
     private long revision;
     private boolean watching;         // as asked; the watch itself may have failed
     private DiscoveryCall watch;
 
-    public Discovery(Network network, InetSocketAddress address, long revision, Listener listener) {
+    /**
+     * Where lists are pushed the address is an agent's on this machine: it answers at once, a watch opened anew is
+     * free, and one line that does not come is silence. Where discovery is asked, calls wait their turn for up to 2 s,
+     * at the cost of all gateways, so two lines have to be missing.
+     *
+     * <p>Either is in time. A change missed counts as told 6 s after the silence began, or 2 s after the wait w of the
+     * call that replaces the watch; a host that drains may still be sent to for the settings' grace, 2 s. With 4.5 s
+     * until the watch is given up a list asked for then is here by 4.5 s + w, and with one failed call between by
+     * 4.65 s + 2 w: before 4.5 s + w + 2 s + 2 s for any wait up to 3.85 s.
+     *
+     * @param pushed whether lists are pushed, by the settings
+     */
+    public Discovery(Network network, InetSocketAddress address, long revision, boolean pushed, Listener listener) {
+        mostSilence = (pushed ? 1 : 2) * LINE_EVERY + LATE;
         this.network = network;
         this.address = address;
         this.revision = revision;
@@ -80,7 +99,7 @@
         try {
             return new DiscoveryCall(network, network.newChannel(), address, "GET " + path + " HTTP/1.1\r\nHost: "
                     + address.getHostString() + ":" + address.getPort() + "\r\nAccept: application/json\r\n\r\n",
-                    standing, this);
+                    standing, mostSilence, this);
         } catch (IOException e) {
             network.log().println("no socket for discovery: " + e.getMessage());
             network.post(this::failed);
--- a/gateway/src/main/java/shelffront/discovery/DiscoveryCall.java
+++ b/gateway/src/main/java/shelffront/discovery/DiscoveryCall.java
@@ -16,21 +16,20 @@
 /** One call of discovery on a connection of its own. */
 final class DiscoveryCall extends Connection {
 
-    /** A call waits its turn at discovery for up to 2 s; a watch writes every 2 s. More than twice that is silence. */
-    private static final long SILENCE = 4_500_000;
-
     private final Discovery discovery;
     private final boolean standing;
+    private final long mostSilence;
     private final ChunkedLines answer = new ChunkedLines(this::line);
     private final StringBuilder body = new StringBuilder();
     private Deadline silence;
     private boolean listCame;
 
     DiscoveryCall(Network network, AsynchronousSocketChannel channel, InetSocketAddress address, String request,
-            boolean standing, Discovery discovery) {
+            boolean standing, long mostSilence, Discovery discovery) {
         super(network, "discovery", channel, 64 * 1024);
         this.discovery = discovery;
         this.standing = standing;
+        this.mostSilence = mostSilence;
         listen();
         write(request.getBytes(US_ASCII));
         connect(address);
@@ -41,7 +40,7 @@
         if (silence != null) {
             silence.cancel();
         }
-        silence = network.loop().at(now() + SILENCE, () -> close(CloseReason.SILENT));
+        silence = network.loop().at(now() + mostSilence, () -> close(CloseReason.SILENT));
     }
 
     @Override
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -119,7 +119,8 @@
             servers = new Servers(network, spec.settings().limits(), sockets, spec.weight(),
                     spec.bounds().hostConnections(), spec.login(), this);
             if (spec.discovery() != null) {
-                discovery = new Discovery(network, spec.discovery(), spec.boxes().revision(), this);
+                discovery = new Discovery(network, spec.discovery(), spec.boxes().revision(),
+                        !spec.settings().listAsked(), this);
             }
             heard = spec.boxes();
             servers.listed(heard);
