--- /dev/null
+++ b/core/src/main/java/shelffront/stage/Standing.java
@@ -0,0 +1,21 @@
+package shelffront.stage;
+
+/**
+ * Where a subject stands.
+ *
+ * @param epoch grows by one with each move, from 1: the fence that an act carries
+ * @param stage the stage in force, by its place in the subject's order, from 0
+ * @param target the stage that is wanted; moves go there one by one
+ */
+public record Standing(long epoch, int stage, int target) {
+
+    /** One step towards the target; itself where it is there. */
+    public Standing next() {
+        return stage == target ? this : new Standing(epoch + 1, stage + Integer.signum(target - stage), target);
+    }
+
+    /** The same, on its way elsewhere. No move by itself, so the epoch stays. */
+    public Standing towards(int other) {
+        return new Standing(epoch, stage, other);
+    }
+}
