Hold leases on a fleet's stages through an engine, and prove it on processes with faults between

Need: core/stage decides; gateways had nothing that keeps leases, finds an owner and moves a subject, and nothing proved it on several processes.

Settings under 'fleet' of a hosted gateway, GET and PUT /v1/subjects for operators.

Seen on the way: with a lease of 600 s a move stood still, since nobody asked the holder again when the last act under the old stage ended; a holder that waits for quiet is now asked every 20 ms.

--- a/core/src/main/java/shelffront/stage/Holder.java
+++ b/core/src/main/java/shelffront/stage/Holder.java
@@ -90,11 +90,16 @@
         return index == 0 || epoch > acknowledged || now >= renewAt ? new Write(index, new Member(epoch, false)) : null;
     }
 
-    /** When it has to be asked again for a wish, if nothing happens before. */
+    /** When it has to be asked again for a wish, if nothing happens before but the end of acts. */
     public long wakeAt() {
         return renewAt;
     }
 
+    /** Whether it waits for acts under an older epoch to end before it acknowledges what it has. */
+    public boolean waitsForQuiet() {
+        return index != 0 && held != null && held.epoch() > acknowledged;
+    }
+
     /**
      * A write was answered.
      *
--- a/core/src/test/java/shelffront/stage/StageTest.java
+++ b/core/src/test/java/shelffront/stage/StageTest.java
@@ -84,7 +84,8 @@
         assertEquals(FIRST, h.inForce(2_999));
         assertNull(h.inForce(3_000), "its lease ran from when it asked");
         assertEquals(new Holder.Write(3, new Member(1, false)), h.wish(100, Long.MAX_VALUE), "it acknowledges at once");
-        assertEquals(null, h.wish(100, 0), "not while something older goes on");
+        assertNull(h.wish(100, 0), "not while something older goes on");
+        assertTrue(h.waitsForQuiet());
         Holder gone = h.unsure(100).looked(110, new Member(0, true), 4);
         assertNull(gone.inForce(110));
         assertFalse(gone.isMember());
--- a/gateway/src/main/java/shelffront/admin/AdminServer.java
+++ b/gateway/src/main/java/shelffront/admin/AdminServer.java
@@ -21,6 +21,8 @@
 import java.util.concurrent.TimeoutException;
 import shelffront.admin.Tokens.Caller;
 import shelffront.net.Log;
+import shelffront.stages.StageException;
+import shelffront.stages.Stages;
 import shelffront.store.Store;
 import shelffront.store.Store.Audit;
 import shelffront.store.Store.ConflictException;
@@ -64,12 +66,14 @@
     private final Store store;
     private final Tenancy tenancy;
     private final Tokens tokens;
+    private final Stages stages;
     private final Log log;
     private final Semaphore polls = new Semaphore(MOST_POLLS);
     private final Map<String, Integer> pollsOf = new ConcurrentHashMap<>();   // those that wait, by token
     private final Map<String, Kept> kept = new LinkedHashMap<>();
 
-    public AdminServer(InetSocketAddress listen, Store store, Tenancy tenancy, Tokens tokens, Log log)
+    /** The stages are null where the gateway is on its own. */
+    public AdminServer(InetSocketAddress listen, Store store, Tenancy tenancy, Tokens tokens, Stages stages, Log log)
             throws IOException {
         System.setProperty("sun.net.httpserver.maxReqTime", MOST_SECONDS);
         System.setProperty("sun.net.httpserver.maxRspTime", "90");
@@ -77,6 +81,7 @@
         this.store = store;
         this.tenancy = tenancy;
         this.tokens = tokens;
+        this.stages = stages;
         this.log = log;
         server = HttpServer.create(listen, 64);
         threads = new ThreadPoolExecutor(THREADS, THREADS, 60, TimeUnit.SECONDS, new ArrayBlockingQueue<>(WAITING),
@@ -211,8 +216,17 @@
                     operator(caller);
                     return Answer.of(200, store.export());
                 }
+                case "subjects" -> {
+                    operator(caller);
+                    return subjects(method, parts, body);
+                }
                 default -> throw Problem.notFound();
             }
+        } catch (StageException e) {
+            int status = e instanceof StageException.EngineException ? 503
+                    : e instanceof StageException.Contended ? 409
+                    : e instanceof StageException.UnknownSubject ? 404 : 422;
+            throw new Problem(status, e.code(), e.getMessage() + ". " + e.advice());
         } catch (SpecException e) {
             throw Problem.invalid(e);
         } catch (ConflictException e) {
@@ -222,6 +236,31 @@
         }
     }
 
+    /** What the fleet changes stage by stage: shown, and sent to another stage. */
+    private Answer subjects(String method, String[] parts, byte[] body)
+            throws Problem, SpecException, StageException {
+        if (stages == null || parts.length > 4) {
+            throw Problem.notFound();
+        }
+        if (parts.length == 4 && method.equals("PUT")) {
+            JsonNode target = SpecJson.parse(body).path("target");
+            if (!target.isTextual()) {
+                throw new Problem(422, "Not a valid document", "a stage is needed", "/target", null);
+            }
+            stages.target(parts[3], target.asText());
+        } else {
+            only(method, "GET");
+        }
+        ArrayNode list = SpecJson.JSON.createArrayNode();
+        for (Stages.Shown s : stages.show()) {
+            if (parts.length == 3 || s.subject().equals(parts[3])) {
+                list.addObject().put("subject", s.subject()).put("stage", s.stage()).put("target", s.target())
+                        .put("epoch", s.epoch()).put("inForceHere", s.inForceHere()).put("owner", s.owner());
+            }
+        }
+        return Answer.of(200, SpecJson.JSON.createObjectNode().set("subjects", list));
+    }
+
     // ---- Tenants ----------------------------------------------------------------------------------------------
 
     private Answer tenants(Caller caller, String method, byte[] body)
--- a/gateway/src/main/java/shelffront/hosted/Hosted.java
+++ b/gateway/src/main/java/shelffront/hosted/Hosted.java
@@ -3,7 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.temporal.ChronoUnit;
 import java.util.List;
+import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
 import shelffront.admin.AdminServer;
@@ -14,6 +17,11 @@
 import shelffront.net.Log;
 import shelffront.net.Network;
 import shelffront.net.TurnLoop;
+import shelffront.stages.ConsulEngine;
+import shelffront.stages.Engine;
+import shelffront.stages.History;
+import shelffront.stages.Stages;
+import shelffront.stages.StagesConfig;
 import shelffront.store.Store;
 import shelffront.store.Store.ConflictException;
 import shelffront.store.Store.Kind;
@@ -32,6 +40,7 @@
     private final Tokens tokens;
     private final Tenancy tenancy;
     private final AdminServer admin;
+    private final Stages stages;          // null where this gateway is on its own
 
     public Hosted(HostedConfig config, Log log) throws IOException, SpecException {
         this(config, log, Ground.machine());
@@ -49,7 +58,9 @@
             lanes.behind(gateway.clients());
             tenancy.start();
             seed(config);
-            admin = config.admin() == null ? null : new AdminServer(config.admin(), store, tenancy, tokens, log);
+            stages = config.fleet() == null ? null : stages(config.fleet(), log);
+            admin = config.admin() == null ? null
+                    : new AdminServer(config.admin(), store, tenancy, tokens, stages, log);
         } catch (ConflictException e) {
             store.close();
             throw new IllegalStateException("nobody else has the store yet", e);
@@ -59,6 +70,13 @@
         }
     }
 
+    /** A call of the engine has a quarter of a lease: a renewal that fails leaves time for others. */
+    private static Stages stages(StagesConfig fleet, Log log) throws IOException {
+        Engine engine = new ConsulEngine(fleet.host(), fleet.port(),
+                Duration.of(fleet.bounds().lease() / 4, ChronoUnit.MICROS));
+        return new Stages(fleet, engine, UUID.randomUUID().toString().substring(0, 8), History.to(fleet.history()), log);
+    }
+
     /** Puts in the tenants of a file that the store has none of; those it has stand as administrators left them. */
     public int seed(HostedConfig config) throws SpecException, ConflictException {
         int count = 0;
@@ -77,10 +95,16 @@
         if (admin != null) {
             admin.start();
         }
+        if (stages != null) {
+            stages.start();
+        }
         lanes.start();
         gateway.start();
         loop.run();
         lanes.join();
+        if (stages != null) {
+            stages.close();
+        }
         if (admin != null) {
             admin.close();
         }
--- a/gateway/src/main/java/shelffront/hosted/HostedConfig.java
+++ b/gateway/src/main/java/shelffront/hosted/HostedConfig.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import shelffront.config.GatewayConfig;
 import shelffront.config.MalformedInputException;
+import shelffront.stages.StagesConfig;
 import shelffront.tenant.SpecJson;
 import shelffront.tenant.SpecJson.SpecException;
 
@@ -23,14 +24,21 @@
  * @param requestsPerSecond what it can take, divided among the tenants by weight; 0 is no bound
  * @param openRequests places for open requests, divided likewise
  * @param tenants put into the store at the start where it has none of that name
+ * @param fleet what the gateways of a fleet change together; null where this one is on its own
  */
 public record HostedConfig(InetSocketAddress listen, InetSocketAddress admin, Path store, int cores, int sockets,
-        long bufferBytes, double requestsPerSecond, int openRequests, List<JsonNode> tenants) {
+        long bufferBytes, double requestsPerSecond, int openRequests, List<JsonNode> tenants, StagesConfig fleet) {
 
     private static final Set<String> NAMES = Set.of("listen", "admin", "store", "cores", "sockets", "bufferBytes", "capacity",
-            "tenants");
+            "tenants", "fleet");
     private static final Set<String> CAPACITY_NAMES = Set.of("requestsPerSecond", "openRequests");
 
+    /** Of a gateway on its own. */
+    public HostedConfig(InetSocketAddress listen, InetSocketAddress admin, Path store, int cores, int sockets,
+            long bufferBytes, double requestsPerSecond, int openRequests, List<JsonNode> tenants) {
+        this(listen, admin, store, cores, sockets, bufferBytes, requestsPerSecond, openRequests, tenants, null);
+    }
+
     /** Throws with the pointer to the first field at fault. */
     public static HostedConfig read(JsonNode top) throws SpecException {
         if (!top.isObject()) {
@@ -62,7 +70,8 @@
                 (int) number(top, "", "cores", 1, 64, 1), (int) number(top, "", "sockets", 64, 1_000_000, 1024),
                 (long) number(top, "", "bufferBytes", 1 << 20, 1L << 40, 64L << 20),
                 number(capacity, "/capacity", "requestsPerSecond", 0, 1e7, 0),
-                (int) number(capacity, "/capacity", "openRequests", 1, 1e7, 2000), List.copyOf(tenants));
+                (int) number(capacity, "/capacity", "openRequests", 1, 1e7, 2000), List.copyOf(tenants),
+                top.has("fleet") ? StagesConfig.read(top.path("fleet"), "/fleet") : null);
     }
 
     private static void known(JsonNode object, String at, Set<String> names) throws SpecException {
--- /dev/null
+++ b/gateway/src/main/java/shelffront/stages/Engine.java
@@ -0,0 +1,34 @@
+package shelffront.stages;
+
+import java.util.List;
+
+/**
+ * Keeps what must not be lost or decided twice. Every read sees all writes that were answered before it was sent, and
+ * a write is taken only where the key has the index that it names. Calls block for a bounded time; any thread may call.
+ */
+public interface Engine extends AutoCloseable {
+
+    /** A key's text; the index changes with every write and never comes back. */
+    record Value(String key, long index, String text) { }
+
+    /** What stands under a prefix, and the index of that answer. */
+    record Listing(long index, List<Value> values) { }
+
+    /** A key, or null. */
+    Value read(String key) throws StageException.EngineException;
+
+    /** All keys under a prefix. */
+    Listing list(String prefix) throws StageException.EngineException;
+
+    /** The same once its index has passed that of a listing, or after a while of the engine's choice. */
+    Listing watch(String prefix, long after) throws StageException.EngineException;
+
+    /** Whether it was taken; index 0: only where there is no such key. */
+    boolean put(String key, long index, String text) throws StageException.EngineException;
+
+    /** Takes the key away where it has the index. */
+    void delete(String key, long index) throws StageException.EngineException;
+
+    @Override
+    void close();
+}
--- /dev/null
+++ b/gateway/src/test/java/shelffront/stages/StagesTest.java
@@ -0,0 +1,158 @@
+package shelffront.stages;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import shelffront.tenant.SpecJson.SpecException;
+
+/** One gateway's stages on an engine in memory, its settings, and the page of its errors. */
+class StagesTest {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** Keys in memory; all of the interface's promises in one lock. */
+    private static final class Memory implements Engine {
+
+        private final TreeMap<String, Value> values = new TreeMap<>();
+        private long index = 1;
+
+        @Override
+        public synchronized Value read(String key) {
+            return values.get(key);
+        }
+
+        @Override
+        public synchronized Listing list(String prefix) {
+            return new Listing(index, values.tailMap(prefix).values().stream().filter(v -> v.key().startsWith(prefix))
+                    .toList());
+        }
+
+        @Override
+        public synchronized Listing watch(String prefix, long after) {
+            try {
+                if (index == after) {
+                    wait(50);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return list(prefix);
+        }
+
+        @Override
+        public synchronized boolean put(String key, long at, String text) {
+            if ((values.containsKey(key) ? values.get(key).index() : 0) != at) {
+                return false;
+            }
+            values.put(key, new Value(key, ++index, text));
+            notifyAll();
+            return true;
+        }
+
+        @Override
+        public synchronized void delete(String key, long at) {
+            if (values.containsKey(key) && values.get(key).index() == at) {
+                values.remove(key);
+                index++;
+                notifyAll();
+            }
+        }
+
+        @Override
+        public void close() { }
+    }
+
+    private static StagesConfig config(String more) throws Exception {
+        return StagesConfig.read(JSON.readTree("{\"engine\":\"127.0.0.1:1\",\"fleet\":\"f\",\"name\":\"g\","
+                + "\"subjects\":{\"s\":[\"one\",\"two\",\"three\"]}" + more + "}"), "/fleet");
+    }
+
+    private static void awaitLine(BlockingQueue<String> log, String wanted) throws InterruptedException {
+        List<String> seen = new ArrayList<>();
+        for (String line = log.poll(20, TimeUnit.SECONDS); line != null; line = log.poll(20, TimeUnit.SECONDS)) {
+            if (line.contains(wanted)) {
+                return;
+            }
+            seen.add(line);
+        }
+        throw new AssertionError("no " + wanted + " in " + seen);
+    }
+
+    @Test
+    void anActHoldsUpTheMoveAfterTheNextUntilItEnds() throws Exception {
+        BlockingQueue<String> log = new LinkedBlockingQueue<>();
+        Memory memory = new Memory();
+        try (Stages stages = new Stages(config(",\"leaseMs\":600000"), memory, "1", History.to(null),
+                line -> log.add(String.valueOf(line)))) {
+            assertNull(stages.inForce("s"), "the safe stage until it has joined");
+            assertNull(stages.begin("s"));
+            stages.start();
+            awaitLine(log, "stage of s is one");
+            Stages.Act act = stages.begin("s");
+            assertEquals(1, act.under().epoch());
+            stages.target("s", "three");
+            awaitLine(log, "stage of s is two");
+            assertEquals("two", stages.show().get(0).stage(), "nothing further while something goes on under one");
+            assertTrue(memory.list("shelffront/f/members/").values().get(0).text().contains("\"epoch\":1"));
+            act.close();
+            act.close();
+            awaitLine(log, "stage of s is three");
+            assertThrows(StageException.UnknownStage.class, () -> stages.target("s", "nine"));
+            assertThrows(StageException.UnknownSubject.class, () -> stages.inForce("t"));
+        }
+        assertTrue(memory.list("shelffront/f/members/").values().isEmpty(), "it has left: no move waits for it");
+    }
+
+    @Test
+    void whatStandsInTheEngineAndCantBeReadIsSaid() throws Exception {
+        BlockingQueue<String> log = new LinkedBlockingQueue<>();
+        Memory memory = new Memory();
+        memory.put("shelffront/f/standing/s", 0, "{\"epoch\":1,\"stage\":\"five\",\"target\":\"one\"}");
+        try (Stages stages = new Stages(config(""), memory, "1", History.to(null),
+                line -> log.add(String.valueOf(line)))) {
+            stages.start();
+            awaitLine(log, "engine-garbled");
+            assertNull(stages.inForce("s"));
+        }
+    }
+
+    @Test
+    void aFileAtFaultIsNamedByItsField() throws Exception {
+        assertEquals(2, config("").shards());
+        for (String[] bad : new String[][] {{",\"leaseMs\":1", "/fleet/leaseMs"}, {",\"leaseMs\":\"6\"", "/fleet/leaseMs"},
+            {",\"drift\":0.9", "/fleet/drift"}, {",\"suspectMs\":100", "/fleet/suspectMs"},
+            {",\"engine\":\"here\"", "/fleet/engine"}, {",\"subjects\":{}", "/fleet/subjects"},
+            {",\"subjects\":{\"s\":[\"a\"]}", "/fleet/subjects/s"}, {",\"subjects\":{\"s\":[\"a\",\"a\"]}", "/fleet/subjects/s"},
+            {",\"name\":\"a/b\"", "/fleet/name"}, {",\"shards\":0", "/fleet/shards"}, {",\"other\":1", "/fleet/other"}}) {
+            SpecException e = assertThrows(SpecException.class, () -> config(bad[0]), bad[0]);
+            assertEquals(bad[1], e.pointer());
+        }
+    }
+
+    /** Each error that there is stands on the page with its code. */
+    @Test
+    void theOperatorsPageNamesEveryError() throws Exception {
+        String page = Files.readString(Path.of("../docs/operators/fleet-changes.md"));
+        List<Class<?>> kinds = new ArrayList<>();
+        for (Class<?> kind : StageException.class.getPermittedSubclasses()) {
+            kinds.addAll(kind.isSealed() ? List.of(kind.getPermittedSubclasses()) : List.of(kind));
+        }
+        assertEquals(6, kinds.size());
+        for (Class<?> kind : kinds) {
+            String code = kind.getSimpleName().replaceAll("(?<=.)([A-Z])", "-$1").toLowerCase(java.util.Locale.ROOT);
+            assertTrue(page.contains("`" + code + "`"), code);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/shelffront/lab/rig/ConsulStandIn.java
@@ -0,0 +1,225 @@
+package shelffront.lab.rig;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.Writer;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.concurrent.Executors;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * Stands in for a Consul agent: the part of its published HTTP API that gateways use, {@code /v1/kv} with check-and-set
+ * and blocking queries. What was answered is in its file and there again after a restart. It can be told, by a PUT to
+ * {@code /fault}, to have no leader, to answer late, to garble its answers, or to forget all it has.
+ */
+@Command(name = "consul-stand-in", mixinStandardHelpOptions = true,
+        description = "Serves a stand-in for a Consul agent's key-value store on loopback until it is ended.")
+public final class ConsulStandIn implements Callable<Integer> {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long LONGEST_WAIT_MS = 600_000;
+
+    private record Entry(byte[] value, long created, long modified) { }
+
+    @Option(names = "--port", defaultValue = "0", description = "0 for any (${DEFAULT-VALUE})")
+    private int port;
+
+    @Option(names = "--file", required = true, description = "keeps what was written")
+    private Path file;
+
+    private final TreeMap<String, Entry> entries = new TreeMap<>();
+    private final Map<String, Long> removed = new HashMap<>();   // by key, the index of its removal
+    private long index = 1;
+    private Writer out;
+    private boolean leaderless;
+    private long lateMs;
+    private boolean garbles;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        if (Files.exists(file)) {
+            for (String line : Files.readAllLines(file)) {
+                JsonNode o = JSON.readTree(line);
+                index = o.path("index").asLong();
+                apply(o.path("key").asText(), o.has("value") ? Base64.getDecoder().decode(o.path("value").asText())
+                        : null, index);
+            }
+        }
+        out = Files.newBufferedWriter(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 256);
+        server.setExecutor(Executors.newCachedThreadPool());
+        server.createContext("/v1/kv/", this::kv);
+        server.createContext("/fault", this::fault);
+        server.start();
+        System.out.println("listens on 127.0.0.1:" + server.getAddress().getPort());
+        Thread.currentThread().join();
+        return 0;
+    }
+
+    private static Map<String, String> query(HttpExchange exchange) {
+        Map<String, String> query = new HashMap<>();
+        String raw = exchange.getRequestURI().getRawQuery();
+        for (String part : raw == null ? new String[0] : raw.split("&")) {
+            int equals = part.indexOf('=');
+            query.put(equals < 0 ? part : part.substring(0, equals),
+                    equals < 0 ? "" : URLDecoder.decode(part.substring(equals + 1), UTF_8));
+        }
+        return query;
+    }
+
+    private void fault(HttpExchange exchange) throws IOException {
+        Map<String, String> query = query(exchange);
+        synchronized (this) {
+            leaderless = query.getOrDefault("leader", "yes").equals("no");
+            lateMs = Long.parseLong(query.getOrDefault("late", "0"));
+            garbles = query.containsKey("garble");
+            if (query.containsKey("forget")) {
+                entries.clear();
+                removed.clear();
+                index = 1;
+                Files.writeString(file, "");
+            }
+            notifyAll();
+        }
+        answer(exchange, 200, "true", 0);
+    }
+
+    private void kv(HttpExchange exchange) throws IOException {
+        try {
+            byte[] body = exchange.getRequestBody().readAllBytes();
+            long late;
+            synchronized (this) {
+                late = lateMs;
+                if (leaderless) {
+                    answer(exchange, 500, "No cluster leader", 0);
+                    return;
+                }
+            }
+            if (late > 0) {
+                Thread.sleep(late);
+            }
+            String key = exchange.getRequestURI().getPath().substring("/v1/kv/".length());
+            Map<String, String> query = query(exchange);
+            switch (exchange.getRequestMethod()) {
+                case "GET" -> get(exchange, key, query);
+                case "PUT" -> answer(exchange, 200, String.valueOf(write(key, query.get("cas"), body)), 0);
+                case "DELETE" -> answer(exchange, 200, String.valueOf(write(key, query.get("cas"), null)), 0);
+                default -> answer(exchange, 405, "", 0);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            exchange.close();
+        }
+    }
+
+    private synchronized boolean write(String key, String cas, byte[] value) throws IOException {
+        Entry now = entries.get(key);
+        if (cas != null && Long.parseLong(cas) != (now == null ? 0 : now.modified())) {
+            return false;
+        }
+        index++;
+        ObjectNode line = JSON.createObjectNode().put("index", index).put("key", key);
+        if (value != null) {
+            line.put("value", Base64.getEncoder().encodeToString(value));
+        }
+        out.write(line + "\n");
+        out.flush();
+        apply(key, value, index);
+        notifyAll();
+        return true;
+    }
+
+    private void apply(String key, byte[] value, long at) {
+        if (value == null) {
+            entries.remove(key);
+            removed.put(key, at);
+        } else {
+            Entry before = entries.get(key);
+            entries.put(key, new Entry(value, before == null ? at : before.created(), at));
+        }
+    }
+
+    private long last(String key, boolean recurse) {
+        long last = 1;
+        for (Map.Entry<String, Entry> each : entries.tailMap(key).entrySet()) {
+            if (!(recurse ? each.getKey().startsWith(key) : each.getKey().equals(key))) {
+                break;
+            }
+            last = Math.max(last, each.getValue().modified());
+        }
+        for (Map.Entry<String, Long> each : removed.entrySet()) {
+            if (recurse ? each.getKey().startsWith(key) : each.getKey().equals(key)) {
+                last = Math.max(last, each.getValue());
+            }
+        }
+        return last;
+    }
+
+    private void get(HttpExchange exchange, String key, Map<String, String> query)
+            throws IOException, InterruptedException {
+        boolean recurse = query.containsKey("recurse");
+        long after = Long.parseLong(query.getOrDefault("index", "0"));
+        ArrayNode list = JSON.createArrayNode();
+        long last;
+        synchronized (this) {
+            long until = System.nanoTime() + 1_000_000 * (after == 0 ? 0 : wait(query.get("wait")));
+            while (last(key, recurse) == after && !leaderless) {
+                long left = (until - System.nanoTime()) / 1_000_000;
+                if (left <= 0) {
+                    break;
+                }
+                wait(left);
+            }
+            last = last(key, recurse);
+            for (Map.Entry<String, Entry> each : entries.tailMap(key).entrySet()) {
+                if (!(recurse ? each.getKey().startsWith(key) : each.getKey().equals(key))) {
+                    break;
+                }
+                Entry e = each.getValue();
+                list.addObject().put("LockIndex", 0).put("Key", each.getKey()).put("Flags", 0)
+                        .put("Value", Base64.getEncoder().encodeToString(e.value()))
+                        .put("CreateIndex", e.created()).put("ModifyIndex", e.modified());
+            }
+        }
+        answer(exchange, list.isEmpty() ? 404 : 200, list.isEmpty() ? "" : list.toString(), last);
+    }
+
+    /** The wait of a blocking query, in the forms 10s, 500ms and 5m; five minutes where none is given. */
+    private static long wait(String text) {
+        if (text == null) {
+            return 300_000;
+        }
+        long number = Long.parseLong(text.replaceAll("[^0-9]", ""));
+        return Math.min(LONGEST_WAIT_MS, number * (text.endsWith("ms") ? 1 : text.endsWith("m") ? 60_000 : 1_000));
+    }
+
+    private void answer(HttpExchange exchange, int status, String text, long at) throws IOException {
+        byte[] body = (garbles && status == 200 ? text.substring(0, text.length() / 2) + "\0{" : text).getBytes(UTF_8);
+        exchange.getResponseHeaders().set("Content-Type", "application/json");
+        exchange.getResponseHeaders().set("X-Consul-Index", Long.toString(at));
+        exchange.getResponseHeaders().set("X-Consul-KnownLeader", "true");
+        exchange.getResponseHeaders().set("X-Consul-LastContact", "0");
+        exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
+        exchange.getResponseBody().write(body);
+        exchange.close();
+    }
+}
