--- a/gateway/src/main/java/shelffront/admin/AdminServer.java
+++ b/gateway/src/main/java/shelffront/admin/AdminServer.java
@@ -254,8 +254,10 @@
         ArrayNode list = SpecJson.JSON.createArrayNode();
         for (Stages.Shown s : stages.show()) {
             if (parts.length == 3 || s.subject().equals(parts[3])) {
-                list.addObject().put("subject", s.subject()).put("stage", s.stage()).put("target", s.target())
-                        .put("epoch", s.epoch()).put("inForceHere", s.inForceHere()).put("owner", s.owner());
+                ArrayNode waits = list.addObject().put("subject", s.subject()).put("stage", s.stage())
+                        .put("target", s.target()).put("epoch", s.epoch()).put("inForceHere", s.inForceHere())
+                        .put("owner", s.owner()).putArray("waitsFor");
+                s.waitsFor().forEach(waits::add);
             }
         }
         return Answer.of(200, SpecJson.JSON.createObjectNode().set("subjects", list));
--- a/gateway/src/main/java/shelffront/stages/Stages.java
+++ b/gateway/src/main/java/shelffront/stages/Stages.java
@@ -51,6 +51,7 @@
         private final OpenActs open = new OpenActs();
         private Holder holder;
         private volatile Force force;
+        private volatile List<String> waitsFor = List.of();   // known where this gateway is owner
 
         private Subject(String name, List<String> stages, Bounds bounds) {
             this.name = name;
@@ -361,6 +362,7 @@
                 if (leads != led) {
                     log.println(leads ? "owns the fleet's stages" : "owns the fleet's stages no longer");
                     owners.clear();       // what was seen before tells nothing of the time between
+                    subjects.values().forEach(s -> s.waitsFor = List.of());
                 }
                 for (Subject s : subjects.values()) {
                     if (leads) {
@@ -393,6 +395,7 @@
         }
         Owner owner = owners.getOrDefault(s.name, Owner.fresh(bounds)).looked(now(), standing, value.index(), seen);
         owners.put(s.name, owner.done());
+        s.waitsFor = owner.waitsFor().stream().map(k -> k.substring(members.length())).toList();
         for (Owner.Wish wish : owner.wishes()) {
             if (wish instanceof Owner.Move m) {
                 if (engine.put(key, m.index(), text(s, m.to()))) {
@@ -414,8 +417,15 @@
 
     // ---- Operators --------------------------------------------------------------------------------------------
 
-    /** Where a subject stands and what it is waited for. */
-    public record Shown(String subject, String stage, String target, long epoch, String inForceHere, boolean owner) { }
+    /**
+     * Where a subject stands.
+     *
+     * @param inForceHere null: the safe stage
+     * @param owner whether this gateway is the fleet's owner
+     * @param waitsFor where it is, the members that hold up the next move
+     */
+    public record Shown(String subject, String stage, String target, long epoch, String inForceHere, boolean owner,
+            List<String> waitsFor) { }
 
     /** Where all subjects stand, by name. */
     public List<Shown> show() throws StageException {
@@ -425,7 +435,7 @@
             Standing standing = value == null ? new Standing(0, 0, 0) : standing(s, value);
             Standing here = inForce(s.name);
             shown.add(new Shown(s.name, s.stages.get(standing.stage()), s.stages.get(standing.target()),
-                    standing.epoch(), here == null ? null : s.stages.get(here.stage()), leads));
+                    standing.epoch(), here == null ? null : s.stages.get(here.stage()), leads, s.waitsFor));
         }
         return shown;
     }
--- a/gateway/src/test/java/shelffront/stages/StagesTest.java
+++ b/gateway/src/test/java/shelffront/stages/StagesTest.java
@@ -1,5 +1,6 @@
 package shelffront.stages;
 
+import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -8,6 +9,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.TreeMap;
@@ -106,6 +108,8 @@
             awaitLine(log, "stage of s is two");
             assertEquals("two", stages.show().get(0).stage(), "nothing further while something goes on under one");
             assertTrue(memory.list("shelffront/f/members/").values().get(0).text().contains("\"epoch\":1"));
+            await().atMost(Duration.ofSeconds(20))
+                    .until(() -> stages.show().get(0).waitsFor().equals(List.of("g-1.1")));
             act.close();
             act.close();
             awaitLine(log, "stage of s is three");
