Draw schedules of faults for a fleet's stages on processes: stage-explore, by seed

Need: three fixed schedules show that the mechanism holds there; what nobody thought of has to be drawn.

--- a/lab/src/main/java/shelffront/lab/LabMain.java
+++ b/lab/src/main/java/shelffront/lab/LabMain.java
@@ -15,13 +15,14 @@
 import shelffront.lab.experiment.Experiment;
 import shelffront.lab.experiment.VirtualExperiment;
 import shelffront.lab.rig.ConsulStandIn;
+import shelffront.lab.rig.StageExplore;
 import shelffront.tenant.SpecJson.SpecException;
 
 /** The lab's commands. */
 @Command(name = "shelffront-lab", mixinStandardHelpOptions = true,
         description = "Plays load and faults against shelffront on stand-in boxes of its own.",
         subcommands = {LabMain.Run.class, LabMain.Compare.class, Explore.class, Explore.Replay.class, Demo.class,
-            Scale.class, Idle.class, ServeFleet.class, ConsulStandIn.class, LabMain.Report.class})
+            Scale.class, Idle.class, ServeFleet.class, ConsulStandIn.class, StageExplore.class, LabMain.Report.class})
 public final class LabMain {
 
     private LabMain() { }
