--- a/gateway/src/main/java/shelffront/admin/AdminServer.java
+++ b/gateway/src/main/java/shelffront/admin/AdminServer.java
@@ -252,13 +252,11 @@
             only(method, "GET");
         }
         ArrayNode list = SpecJson.JSON.createArrayNode();
-        for (Stages.Shown s : stages.show()) {
-            if (parts.length == 3 || s.subject().equals(parts[3])) {
-                ArrayNode waits = list.addObject().put("subject", s.subject()).put("stage", s.stage())
-                        .put("target", s.target()).put("epoch", s.epoch()).put("inForceHere", s.inForceHere())
-                        .put("owner", s.owner()).putArray("waitsFor");
-                s.waitsFor().forEach(waits::add);
-            }
+        for (Stages.Shown s : stages.show(parts.length == 4 ? parts[3] : null)) {
+            ArrayNode waits = list.addObject().put("subject", s.subject()).put("stage", s.stage())
+                    .put("target", s.target()).put("epoch", s.epoch()).put("inForceHere", s.inForceHere())
+                    .put("owner", s.owner()).putArray("waitsFor");
+            s.waitsFor().forEach(waits::add);
         }
         return Answer.of(200, SpecJson.JSON.createObjectNode().set("subjects", list));
     }
--- a/gateway/src/main/java/shelffront/stages/Stages.java
+++ b/gateway/src/main/java/shelffront/stages/Stages.java
@@ -427,10 +427,10 @@
     public record Shown(String subject, String stage, String target, long epoch, String inForceHere, boolean owner,
             List<String> waitsFor) { }
 
-    /** Where all subjects stand, by name. */
-    public List<Shown> show() throws StageException {
+    /** Where all subjects stand, by name, or the one that is named; null: all. */
+    public List<Shown> show(String only) throws StageException {
         List<Shown> shown = new ArrayList<>();
-        for (Subject s : new TreeMap<>(subjects).values()) {
+        for (Subject s : only == null ? new TreeMap<>(subjects).values() : List.of(subject(only))) {
             Value value = engine.read(prefix + "standing/" + s.name);
             Standing standing = value == null ? new Standing(0, 0, 0) : standing(s, value);
             Standing here = inForce(s.name);
--- a/gateway/src/test/java/shelffront/stages/StagesTest.java
+++ b/gateway/src/test/java/shelffront/stages/StagesTest.java
@@ -106,15 +106,17 @@
             assertEquals(1, act.under().epoch());
             stages.target("s", "three");
             awaitLine(log, "stage of s is two");
-            assertEquals("two", stages.show().get(0).stage(), "nothing further while something goes on under one");
+            assertEquals("two", stages.show("s").get(0).stage(), "nothing further while something goes on under one");
             assertTrue(memory.list("shelffront/f/members/").values().get(0).text().contains("\"epoch\":1"));
             await().atMost(Duration.ofSeconds(20))
-                    .until(() -> stages.show().get(0).waitsFor().equals(List.of("g-1.1")));
+                    .until(() -> stages.show("s").get(0).waitsFor().equals(List.of("g-1.1")));
             act.close();
             act.close();
             awaitLine(log, "stage of s is three");
             assertThrows(StageException.UnknownStage.class, () -> stages.target("s", "nine"));
             assertThrows(StageException.UnknownSubject.class, () -> stages.inForce("t"));
+            assertThrows(StageException.UnknownSubject.class, () -> stages.show("t"));
+            assertEquals(1, stages.show(null).size());
         }
         assertTrue(memory.list("shelffront/f/members/").values().isEmpty(), "it has left: no move waits for it");
     }
