Hold the sample of a fleet's settings valid by a test

Need: deploy/fleet.jsonnet was checked by hand only.

Change: CliTest checks it as it does the other sample.

Measured: CliTest passes; it fails where the sample names a setting that is none.

--- a/gateway/src/test/java/shelffront/cli/CliTest.java
+++ b/gateway/src/test/java/shelffront/cli/CliTest.java
@@ -31,6 +31,7 @@
         HostedConfig config = HostedConfig.read(Templates.evaluate(Path.of("../deploy/shelffront.jsonnet")));
         assertEquals(1, config.tenants().size());
         assertEquals(0, Cli.run("config", "check", "../deploy/shelffront.jsonnet"));
+        assertEquals(0, Cli.run("config", "check", "../deploy/fleet.jsonnet"));
     }
 
     @Test
