Advise against taking a standing's key away while gateways run

Need: read once more, the advice for engine-garbled was harmful: a standing made anew begins at epoch 1, below what gateways hold, and they would not take it up.

Measured: gateway compiles; texts only, no test was run again.

--- a/gateway/src/main/java/shelffront/stages/StageException.java
+++ b/gateway/src/main/java/shelffront/stages/StageException.java
@@ -68,7 +68,7 @@
 
         EngineGarbled(String what, Throwable cause) {
             super("engine-garbled", what, "See who else writes under this fleet's prefix, and whether all gateways are"
-                    + " of a build that knows the form. Take the key away to have it made anew.", cause);
+                    + " of a build that knows the form. Put back what the key held; never take it away while gateways run.", cause);
         }
     }
 
