Write nothing for a client that has gone while its attempt waited, nor past the window for repeats

Seen on reading: Decide.mayStart, asked when a connection is there for an attempt that waited for one, looked at the member and the data's age only. A write whose client had left in the meantime was written all the same (only repeatable attempts are called off, Queue.close), and a keyed write that may have run was sent again after its window for repeats: the window was looked at when the attempt was begun, up to the time limit for connecting before.

Change: mayStart also wants the request open, and, where an earlier attempt may have run, one that may still be repeated.

--- a/core/src/main/java/shelffront/decide/Decide.java
+++ b/core/src/main/java/shelffront/decide/Decide.java
@@ -54,7 +54,7 @@
     public void onMembers(long time, ListKind kind, long version, List<Member> members) {
         state.now = time;
         if (kind == ListKind.FAILED) {
-            long wait = Math.min(2_000_000, 100_000L << Math.min(5, listFailures++));
+            long wait = Math.min(600_000, 100_000L << Math.min(5, listFailures++));
             state.at(null, state.now + wait / 2 + state.random.nextInt((int) wait),
                     () -> state.actions.subscribe(true));
             return;
@@ -134,7 +134,8 @@
     public boolean mayStart(long time, String requestId, int attempt) {
         state.now = time;
         Attempt a = state.attemptsOut.get(requestId + attempt);
-        return a != null && a.node.open && queue.guards().freshEnough(a.request, a.node);
+        return a != null && a.request.open && a.node.open && queue.guards().freshEnough(a.request, a.node)
+                && (a.request.mayHaveRun() == a || queue.guards().mayTryAgain(a.request));
     }
 
     @Override
--- a/core/src/main/java/shelffront/route/Router.java
+++ b/core/src/main/java/shelffront/route/Router.java
@@ -132,8 +132,9 @@
     void onOutcome(long now, Outcome outcome);
 
     /**
-     * Whether an attempt may be written now that a connection is there for it: its member may have begun to drain, lost
-     * its role or become too old while it waited. Where not, it ends as NOT_SENT, and its request is looked at again.
+     * Whether an attempt may be written now that a connection is there for it: while it waited its client may have gone,
+     * its member may have begun to drain, lost its role or become too old, the window for repeats may have ended. Where
+     * not, it ends as NOT_SENT, and its request, if it is open, is looked at again.
      */
     boolean mayStart(long now, String requestId, int attempt);
 
