Give up a call of discovery that trickles, and ask anew within 6 s whatever failed before

Seen: a play that trickles a list kept its watch alive for ever, since any byte counted as a sign of life (DiscoveryCall.received called listen first). Sum where lists are asked for: 4.5 s until a silent call was given up, up to 3 s of pause after several failures, 2 s of the next call: 9.5 s, where 6 s are allowed. An older list after a newer one was taken and brought back what was gone (Discovery.heard). After a move by SIGHUP the pause of the failure before began the new watch anew. An indented list on a watch was read line by line and called malformed. A refusal was waited for to the end of its text.

Change: headers and whole lines alone count as life, of a list its last line; 2.5 s without one end the call, whether lists are pushed or asked for. Together with a pause of at most 0.9 s and the next call's 2.5 s that is 5.9 s, derived in Discovery.PATIENCE. An older list counts for nothing for 30 s. A watch that stands is not begun anew. A list is read when its first brace is closed. A status other than 200 ends the call with its headers.

Not changed: the pushed agent's pause.

--- a/gateway/src/main/java/shelffront/discovery/ChunkedLines.java
+++ b/gateway/src/main/java/shelffront/discovery/ChunkedLines.java
@@ -38,6 +38,11 @@
         return status;
     }
 
+    /** Its status and headers have come. */
+    boolean hasHeaders() {
+        return part != Part.STATUS && part != Part.HEADER;
+    }
+
     boolean ended() {
         return part == Part.END;
     }
--- a/gateway/src/main/java/shelffront/discovery/Discovery.java
+++ b/gateway/src/main/java/shelffront/discovery/Discovery.java
@@ -19,33 +19,30 @@
         void failed();
     }
 
-    /** A watch on which nothing changes writes an empty line as often, in microseconds (the platform's protocol). */
-    private static final long LINE_EVERY = 2_000_000;
-    /** A loop that is busy, or a network that is, may be as late with a line. */
-    private static final long LATE = 500_000;
+    /**
+     * In microseconds, how long a call may be without a whole line of its list. A watch on which nothing changes writes
+     * an empty one every 2 s, and a call that waits its turn has its answer within 2 s (the platform's protocol); a
+     * loop or a network that is busy may be half a second late with either.
+     *
+     * <p>A change counts as told 6 s after discovery had it and could be reached, whatever had failed before. A call
+     * that was out then is given up 2.5 s later at the most, whatever trickles in on it; the module asks anew after at
+     * most 0.9 s where lists are asked for, {@code Tenant} after 0.1 s where they are pushed; and that call's answer is
+     * there within 2.5 s. Together 5.9 s, with nothing left to the grace that the settings give a drain.
+     */
+    static final long PATIENCE = 2_500_000;
+    /** For so long after the newest list an older one is late, not the beginning of another count of revisions. */
+    private static final long LATE_LIST = 30_000_000;
 
     private final Network network;
     private final Listener listener;
-    private final long mostSilence;
     private InetSocketAddress address;
     private long revision;
+    private long newestAt;
     private boolean watching;         // as asked; the watch itself may have failed
     private DiscoveryCall watch;
 
-    /**
-     * Where lists are pushed the address is an agent's on this machine: it answers at once, a watch opened anew is
-     * free, and one line that does not come is silence. Where discovery is asked, calls wait their turn for up to 2 s,
-     * at the cost of all gateways, so two lines have to be missing.
-     *
-     * <p>Either is in time. A change missed counts as told 6 s after the silence began, or 2 s after the wait w of the
-     * call that replaces the watch; a host that drains may still be sent to for the settings' grace, 2 s. With 4.5 s
-     * until the watch is given up a list asked for then is here by 4.5 s + w, and with one failed call between by
-     * 4.65 s + 2 w: before 4.5 s + w + 2 s + 2 s for any wait up to 3.85 s.
-     *
-     * @param pushed whether lists are pushed, by the settings
-     */
-    public Discovery(Network network, InetSocketAddress address, long revision, boolean pushed, Listener listener) {
-        mostSilence = (pushed ? 1 : 2) * LINE_EVERY + LATE;
+    /** The revision is that of the list that is known already; 0 asks for the whole list. */
+    public Discovery(Network network, InetSocketAddress address, long revision, Listener listener) {
         this.network = network;
         this.address = address;
         this.revision = revision;
@@ -99,7 +96,7 @@
         try {
             return new DiscoveryCall(network, network.newChannel(), address, "GET " + path + " HTTP/1.1\r\nHost: "
                     + address.getHostString() + ":" + address.getPort() + "\r\nAccept: application/json\r\n\r\n",
-                    standing, mostSilence, this);
+                    standing, this);
         } catch (IOException e) {
             network.log().println("no socket for discovery: " + e.getMessage());
             network.post(this::failed);
@@ -107,8 +104,14 @@
         }
     }
 
+    /** Guards against an older list after a newer one, which would have what drains and what is gone used again. */
     void heard(MemberList list) {
-        revision = Math.max(revision, list.revision());
+        if (list.revision() < revision && network.loop().now() < newestAt + LATE_LIST) {
+            network.log().println("discovery: list " + list.revision() + " is older than " + revision);
+            return;
+        }
+        revision = list.revision();
+        newestAt = network.loop().now();
         network.counters().add(Counters.Name.LISTS_HEARD);
         listener.heard(list);
     }
--- a/gateway/src/main/java/shelffront/discovery/DiscoveryCall.java
+++ b/gateway/src/main/java/shelffront/discovery/DiscoveryCall.java
@@ -16,36 +16,40 @@
 /** One call of discovery on a connection of its own. */
 final class DiscoveryCall extends Connection {
 
+    private static final int GREATEST_LIST = 256 * 1024;
+
     private final Discovery discovery;
     private final boolean standing;
-    private final long mostSilence;
     private final ChunkedLines answer = new ChunkedLines(this::line);
     private final StringBuilder body = new StringBuilder();
+    private int depth;                // of braces, in what has come of a list
     private Deadline silence;
     private boolean listCame;
 
     DiscoveryCall(Network network, AsynchronousSocketChannel channel, InetSocketAddress address, String request,
-            boolean standing, long mostSilence, Discovery discovery) {
+            boolean standing, Discovery discovery) {
         super(network, "discovery", channel, 64 * 1024);
         this.discovery = discovery;
         this.standing = standing;
-        this.mostSilence = mostSilence;
         listen();
         write(request.getBytes(US_ASCII));
         connect(address);
     }
 
-    /** Guards against a watch whose other end vanished: nothing says so but its silence. */
+    /**
+     * Guards against a watch whose other end vanished, and against one that trickles: only whole headers and whole lines
+     * count, of a list only its last.
+     */
     private void listen() {
         if (silence != null) {
             silence.cancel();
         }
-        silence = network.loop().at(now() + mostSilence, () -> close(CloseReason.SILENT));
+        silence = network.loop().after(Discovery.PATIENCE, () -> close(CloseReason.SILENT));
     }
 
     @Override
     protected void received(ByteBuffer bytes) {
-        listen();
+        boolean before = answer.hasHeaders();
         try {
             answer.take(bytes);
         } catch (MalformedInputException e) {
@@ -53,7 +57,17 @@
             close(CloseReason.BAD_ANSWER);
             return;
         }
-        if (!isClosed() && answer.ended()) {
+        if (isClosed()) {
+            return;
+        }
+        if (answer.hasHeaders() && answer.status() != 200) {
+            close(CloseReason.ANSWERED);      // a refusal: what it says beside that may never end
+            return;
+        }
+        if (answer.hasHeaders() && !before) {
+            listen();
+        }
+        if (answer.ended()) {
             finish(CloseReason.ANSWERED);
         }
     }
@@ -62,11 +76,46 @@
         if (answer.status() != 200 || isClosed()) {
             return;
         }
+        if (body.length() + text.length() > GREATEST_LIST) {
+            network.log().println("discovery: a list is too long");
+            close(CloseReason.BAD_ANSWER);
+            return;
+        }
         if (!standing) {
             body.append(text).append('\n');
-        } else if (!text.isBlank()) {
-            list(text);
+            return;
+        }
+        // A list may be indented, over several lines; it has come when its first brace is closed.
+        depth += depth(text);
+        if (body.length() > 0 || !text.isBlank()) {
+            body.append(text).append('\n');
+        }
+        if (depth <= 0) {
+            listen();
+            if (body.length() > 0) {
+                String whole = body.toString();
+                body.setLength(0);
+                depth = 0;
+                list(whole);
+            }
+        }
+    }
+
+    /** By how much the braces of a line open more than they close; those within texts, which end on their line, not. */
+    private static int depth(String line) {
+        int depth = 0;
+        boolean inText = false;
+        for (int i = 0; i < line.length(); i++) {
+            char c = line.charAt(i);
+            if (inText && c == '\\') {
+                i++;
+            } else if (c == '"') {
+                inText = !inText;
+            } else if (!inText && (c == '{' || c == '}')) {
+                depth += c == '{' ? 1 : -1;
+            }
         }
+        return depth;
     }
 
     private void list(String text) {
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -119,8 +119,7 @@
             servers = new Servers(network, spec.settings().limits(), sockets, spec.weight(),
                     spec.bounds().hostConnections(), spec.login(), this);
             if (spec.discovery() != null) {
-                discovery = new Discovery(network, spec.discovery(), spec.boxes().revision(),
-                        !spec.settings().listAsked(), this);
+                discovery = new Discovery(network, spec.discovery(), spec.boxes().revision(), this);
             }
             heard = spec.boxes();
             servers.listed(heard);
@@ -549,7 +548,8 @@
 
     @Override
     public void subscribe(boolean on) {
-        if (discovery != null && runs()) {
+        // One that stands is not begun anew: a move to another address may have come between its failure and now.
+        if (discovery != null && runs() && !(on && discovery.isOpen())) {
             discovery.watch(on);
         }
     }
