Drop nothing owed when a client's connection ends: look at what was read, then end in order

Seen, each forced by a play that fails on the code of: a read's result that stood in the loop's queue while the idle limit, the first command's limit, an eviction or the stop closed its connection was dropped, and with it a request that had been read (crossed-idle, crossed-startup, crossed-eviction, crossed-stop). These ends closed the socket at once: with input unread that is a reset, which may destroy an answer just written. A connection accepted in the moment of the last look was never served (accepted-at-the-end). A client's end seen under a write let the next waiting command begin (left-under-a-write). Behind nine waiting commands, or noise, no read was out, and the end was not seen at all (left-behind-commands, left-behind-noise). With all places in work who came waited for the first that ended, not the first that fell idle, and one just accepted was evicted before its request could be read (place-of-the-idle). A host's end that stood in the queue made a new request look as if its host accepted no connections (host-ends-at-take).

Change: Connection marks a read as unseen from its completion to its turn; rest() ends in order where nothing is unseen (stops sending, reads to the peer's end for 0.5 s, closes) and every end of a resting client goes through it. Reading goes on ahead of the commands in hand, into a buffer of its own, up to 192 KiB. Nothing begins under a peer's end. Clients: connections that linger are bounded by a sixteenth of the places; a place is looked for when one falls idle and 5 ms after there was none; who comes while all are in work is told 53300 at once (no-place, place-of-the-silent). The listener closes first at the stop, and what was accepted by then is served. A resting host connection with something unseen is not used.

--- a/gateway/src/main/java/shelffront/client/ClientConnection.java
+++ b/gateway/src/main/java/shelffront/client/ClientConnection.java
@@ -31,6 +31,12 @@
     private static final long FIRST_COMMAND_TIME = 2_500_000;
     private static final long HALF_COMMAND_TIME = 2_000_000;
     private static final long IDLE_TIME = 10_000_000;
+    /** What was owed when its time was over has been answered by then, or is looked at again. */
+    private static final long LOOK_AGAIN = 20_000;
+    /** A client sends its startup and first command at once, and a command in one piece or in quick succession. */
+    private static final long SILENT = 100_000;
+    /** As much as has to be waited for while others wait for the place; what came with it has been read by then. */
+    static final long BRIEF = 5_000;
 
     /**
      * A command and when its last byte came: its time counts from there, however long it waits. Input that can't be
@@ -53,6 +59,7 @@
     private boolean skipToSync;
     private String unreadable;        // why input from here on makes no sense
     private Exchange current;
+    private long heardAt;             // when bytes last came, or it was opened
     private int waitingBytes;
     private int held;                 // bytes of commands and answer in hand that the memory budget counts
     private Deadline limit;           // on the time to the next whole command; idle while a request is in work
@@ -62,7 +69,8 @@
         this.clients = clients;
         cameIn = clients;
         openedAt = now();
-        limit = clients.network.loop().at(openedAt + FIRST_COMMAND_TIME, () -> close(CloseReason.STARTUP_TIMEOUT));
+        heardAt = openedAt;
+        limit = clients.network.loop().at(openedAt + FIRST_COMMAND_TIME, () -> expire(CloseReason.STARTUP_TIMEOUT));
     }
 
     /** Reads what comes; may end it at once, so whoever counts it has done so before. */
@@ -76,9 +84,46 @@
         return current == null && waiting.isEmpty() && drained();
     }
 
-    /** Since when it has been open without a whole command; long after now where one has come. */
-    long silentSince() {
-        return asked ? Long.MAX_VALUE : openedAt;
+    /** Whether it has sent no whole command in the time in which clients do. */
+    boolean isSilent() {
+        return !asked && now() > openedAt + SILENT;
+    }
+
+    /** Whether it may be asked to go: nothing is owed, and what it has begun to send has had its time to come. */
+    boolean mayRetire() {
+        return mayRetire(SILENT);
+    }
+
+    /** As {@link #mayRetire()}, where others need its place at once and nobody else can give up his. */
+    boolean mayMakeRoom() {
+        return mayRetire(asked ? SILENT : BRIEF);
+    }
+
+    private boolean mayRetire(long patience) {
+        return isIdle() && !isEnding() && !hasUnseen() && (asked && !half || now() > heardAt + patience);
+    }
+
+    /** Ends it in order if it may be; what of it crosses that end was not read, and its client sends it elsewhere. */
+    boolean retire(CloseReason reason) {
+        return mayMakeRoom() && rest(reason);
+    }
+
+    /** Its time is over; not while anything is owed, and what was read in this moment is looked at first. */
+    private void expire(CloseReason reason) {
+        if (!isIdle() || !rest(reason)) {
+            limit = network.loop().at(now() + LOOK_AGAIN, () -> expire(reason));
+        }
+    }
+
+    @Override
+    protected void lingering() {
+        limit.cancel();
+        clients.lingers(this);
+    }
+
+    @Override
+    protected boolean dropsInput() {
+        return unreadable != null;
     }
 
     /** Connections that are served together with this one. */
@@ -101,6 +146,7 @@
 
     @Override
     protected void received(ByteBuffer bytes) {
+        heardAt = now();
         try {
             while (!started && startup(bytes)) {
                 continue;
@@ -128,8 +174,9 @@
                 default -> CloseReason.MALFORMED;
             });
         }
-        boolean begun = !half && bytes.hasRemaining();
-        half = bytes.hasRemaining();
+        boolean before = half;
+        half = bytes.hasRemaining() && wantsInput();
+        boolean begun = half && !before;
         if (begun && asked && isIdle()) {
             idle();
         }
@@ -202,7 +249,7 @@
     private void arrive() {
         clients = home;
         clients.arrives(this);
-        limit = network.loop().at(openedAt + FIRST_COMMAND_TIME, () -> close(CloseReason.STARTUP_TIMEOUT));
+        limit = network.loop().at(openedAt + FIRST_COMMAND_TIME, () -> expire(CloseReason.STARTUP_TIMEOUT));
         resume();
     }
 
@@ -233,13 +280,16 @@
     /** Guards against clients that hold a connection with half a command, or for good. */
     private void idle() {
         limit.cancel();
-        limit = network.loop().at(now() + (half ? HALF_COMMAND_TIME : IDLE_TIME), () -> close(CloseReason.IDLE));
+        limit = network.loop().at(now() + (half ? HALF_COMMAND_TIME : IDLE_TIME), () -> expire(CloseReason.IDLE));
         clients.used(this);
     }
 
-    /** Takes up commands while none is in work and the answers before have gone out: output stays bounded. */
+    /**
+     * Takes up commands while none is in work and the answers before have gone out: output stays bounded. Nothing is
+     * begun for a client whose end has been read, though a write to it is still out.
+     */
     private void work() {
-        while (!isClosed() && current == null && drained() && !waiting.isEmpty()) {
+        while (!isEnding() && current == null && drained() && !waiting.isEmpty()) {
             Command command = waiting.poll();
             waitingBytes -= command.message() == null ? 0 : command.message().body().length;
             try {
--- a/gateway/src/main/java/shelffront/client/Clients.java
+++ b/gateway/src/main/java/shelffront/client/Clients.java
@@ -77,21 +77,29 @@
     }
 
     private static final int BACKLOG = 1024;
-    private static final long SILENT = 100_000;   // A client sends its startup and first command at once.
+    /** Beyond the places, as a part of them: connections that were told to go and have not ended yet. */
+    private static final int LINGERING_PART = 16;
     private static final long ACCEPT_PAUSE = 20_000;
 
     final Network network;
     final Door door;
     private final int mostConnections;
+    private final int mostLingering;
     private final AsynchronousServerSocketChannel listener;    // null where they come from another loop's
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    /** Told that nothing more is sent on them; each ends with its client's end, or after a moment. */
+    private final Set<ClientConnection> lingering = new LinkedHashSet<>();
     /** Those that came in here and live on another loop now, by whose they are there. */
     private final Map<Clients, Integer> away = new LinkedHashMap<>();
-    private boolean full;
+    private boolean accepting;        // an accept is out
+    private boolean lookingAgain;     // a look at who may go is due
+    private boolean turnsAway;        // there was no place for a while: who comes is told so
     private boolean draining;
+    private Runnable whenStopped;     // to be told that no accept is out any more
 
     public Clients(Network network, InetSocketAddress listen, int mostConnections, Door door) throws IOException {
         this.network = network;
+        mostLingering = Math.max(1, mostConnections / LINGERING_PART);
         this.mostConnections = mostConnections;
         this.door = door;
         listener = network.channels().listen(listen, BACKLOG);
@@ -102,6 +110,7 @@
         this.network = network;
         this.door = door;
         mostConnections = Integer.MAX_VALUE;
+        mostLingering = Integer.MAX_VALUE;
         listener = null;
     }
 
@@ -110,6 +119,7 @@
     }
 
     public void accept() {
+        accepting = true;
         listener.accept(null, new CompletionHandler<AsynchronousSocketChannel, Void>() {
             @Override
             public void completed(AsynchronousSocketChannel channel, Void none) {
@@ -124,46 +134,55 @@
     }
 
     private void accepted(AsynchronousSocketChannel channel) {
+        accepting = false;
         network.counters().add(Counters.Name.CLIENTS_ACCEPTED);
+        if (whenStopped != null) {
+            network.loop().post(whenStopped);
+        }
         ClientConnection connection = new ClientConnection(this, channel);
         connections.add(connection);
         connection.begin();
-        if (connections.size() + awayCount() < mostConnections || evict()) {
-            accept();
-        } else {
-            full = true;            // the rest wait in the backlog until one ends
+        if (connections.size() + awayCount() > mostConnections && !evict()) {
+            connection.dismiss(new ProtocolException("53300", "too many connections"), CloseReason.NO_PLACE);
+        }
+        makeRoom();
+        if (!accepting && listener.isOpen()) {
+            // The next one waits in the backlog for a moment. Whoever has most elsewhere is asked for one.
+            away.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey)
+                    .ifPresent(c -> c.network.loop().post(c::evict));
         }
     }
 
     /** Guards against a moment without descriptors ending all accepting. */
     private void acceptFailed(Throwable failure) {
+        accepting = false;
         if (listener.isOpen()) {
             network.log().println("accept failed: " + failure);
-            network.loop().at(network.loop().now() + ACCEPT_PAUSE, this::accept);
+            network.loop().at(network.loop().now() + ACCEPT_PAUSE, this::makeRoom);
+        } else if (whenStopped != null) {
+            whenStopped.run();
         }
     }
 
     /**
      * Guards against those who connect and say nothing, or ask once and stay, taking the place of the others: the
-     * first to go is one that has sent no command, then the one unused for longest of the tenant that has most.
+     * first to go is one that has sent no command, then the one unused for longest of the tenant that has most. Nothing
+     * is owed to any of them.
      */
     private boolean evict() {
         ClientConnection victim = null;
         for (ClientConnection c : connections) {
-            if (c.isIdle() && c.silentSince() < network.loop().now() - SILENT) {
+            if (c.mayRetire() && c.isSilent()) {
                 victim = c;
                 break;
             }
-            victim = c.isIdle() && (victim == null || c.siblings() > victim.siblings()) ? c : victim;
+            victim = c.mayRetire() && (victim == null || c.siblings() > victim.siblings()) ? c : victim;
         }
-        if (victim != null) {
-            victim.close(CloseReason.EVICTED);
-        } else {
-            // Whoever has most elsewhere is asked for one; a place is free here once it says that one has ended.
-            away.entrySet().stream().max(Map.Entry.comparingByValue()).map(Map.Entry::getKey)
-                    .ifPresent(c -> c.network.loop().post(c::evict));
+        for (var each = connections.iterator(); victim == null && each.hasNext();) {
+            ClientConnection c = each.next();
+            victim = c.mayMakeRoom() ? c : null;      // so many came together that none could be silent for long
         }
-        return victim != null;
+        return victim != null && victim.retire(CloseReason.EVICTED);
     }
 
     private int awayCount() {
@@ -201,20 +220,53 @@
 
     /** The connection may have nothing more to do. */
     void finished(ClientConnection connection) {
-        if (draining && connection.isIdle()) {
-            connection.close(CloseReason.DRAINED);
+        if (draining) {
+            if (connection.mayRetire()) {
+                connection.retire(CloseReason.DRAINED);
+            }
         }
+        makeRoom();                 // one that fell idle gives its place to one that waits in the backlog
+    }
+
+    /** Nothing more is sent on the connection. It has no place any more, but a descriptor, of which there are few. */
+    void lingers(ClientConnection connection) {
+        connections.remove(connection);
+        lingering.add(connection);
+        if (lingering.size() > mostLingering) {
+            lingering.iterator().next().close(CloseReason.EVICTED);
+        }
+        makeRoom();
     }
 
     void ended(ClientConnection connection) {
         connections.remove(connection);
+        lingering.remove(connection);
         makeRoom();
     }
 
+    /**
+     * Accepts the next one where there is a place, or somebody to give his up. Where not, that may be so in a moment: one
+     * that has just come turns out to be silent, one in work falls idle. After that moment those that come are told at
+     * once that there is no place, until there is one: what waits in the backlog has been taken, and owes an answer.
+     */
     private void makeRoom() {
-        if (full && !draining) {
-            full = false;
+        if (listener == null || accepting || !listener.isOpen()) {
+            return;
+        }
+        boolean room = connections.size() + awayCount() < mostConnections || evict();
+        turnsAway &= !room;
+        if (accepting) {
+            return;                       // what was evicted has made room by itself
+        }
+        if (room || turnsAway) {
             accept();
+        } else if (!lookingAgain) {
+            lookingAgain = true;
+            network.loop().at(network.loop().now() + ClientConnection.BRIEF + 1, () -> {
+                lookingAgain = false;
+                turnsAway = true;
+                makeRoom();
+            });
         }
     }
 
@@ -224,12 +276,21 @@
         List.copyOf(connections).forEach(this::finished);
     }
 
-    /** Whether no connection has anything left to answer. */
+    /** Whether no connection is left. */
     public boolean isEmpty() {
-        return connections.isEmpty() && away.isEmpty();
+        return connections.isEmpty() && lingering.isEmpty() && away.isEmpty();
     }
 
-    public void close() {
+    /** Takes no further connections, and says once it is known whether one was accepted in this moment. */
+    public void stopAccepting(Runnable then) {
+        whenStopped = then;
+        closeListener();
+        if (!accepting) {
+            then.run();
+        }
+    }
+
+    private void closeListener() {
         try {
             if (listener != null) {
                 listener.close();
@@ -237,6 +298,11 @@
         } catch (IOException e) {
             network.log().println("close listener failed: " + e.getMessage());
         }
+    }
+
+    public void close() {
+        closeListener();
         List.copyOf(connections).forEach(c -> c.close(CloseReason.DRAINED));
+        List.copyOf(lingering).forEach(c -> c.close(CloseReason.DRAINED));
     }
 }
--- a/gateway/src/main/java/shelffront/gateway/Gateway.java
+++ b/gateway/src/main/java/shelffront/gateway/Gateway.java
@@ -33,6 +33,7 @@
     private final BooleanSupplier idle;
     private final Runnable closing;
     private final Tenant single;          // null where there are many
+    private boolean refusing;             // takes no connections any more
 
     /** The single tenant of a platform's file, whatever user and database clients name. */
     public Gateway(Network network, GatewayConfig config) throws IOException {
@@ -136,6 +137,12 @@
             loop.at(loop.now() + DRAIN_CHECK, this::stopWhenDone);
             return;
         }
+        if (!refusing) {
+            // A connection may have been accepted since the last turn: it is served before the end.
+            refusing = true;
+            clients.stopAccepting(this::stopWhenDone);
+            return;
+        }
         close();
         network.log().println(network.counters());
         loop.stop();
--- a/gateway/src/main/java/shelffront/net/Connection.java
+++ b/gateway/src/main/java/shelffront/net/Connection.java
@@ -19,6 +19,7 @@
     private static final long LINGER = 500_000;
     private static final int GREATEST_DROPPED = 1 << 20;
     private static final long STALL = 10_000_000;  // A peer that takes nothing for so long is given up.
+    private static final int GREATEST_AHEAD = 192 * 1024;   // Read only to see the peer's end behind it.
 
     protected Network network;
     private final String kind;
@@ -30,12 +31,18 @@
     private TurnLoop.Deadline stall;
     private boolean connected;
     private boolean reading;
+    private boolean readingAhead;     // the read that is out is not into the input
+    private boolean offering;
+    private ByteBuffer ahead;         // only while a read ahead is out
+    /** What a read brought waits for its turn on the loop. Set by the thread that completes it. */
+    private volatile boolean unseen;
     private boolean paused;           // what was read is not all consumed, since no more input was wanted
     private CloseReason peerEnded;
     private CloseReason closeWhenWritten;
     private Runnable moving;          // what begins on the loop that it moves to, once nothing of it is out here
     private Network movingTo;
     private int toDrop;               // bytes still read for nothing while a connection ends
+    private long dropped;             // bytes read for nothing behind what can't be understood
     private boolean closed;
 
     protected Connection(Network network, String kind, AsynchronousSocketChannel channel, int greatestBuffer) {
@@ -51,11 +58,29 @@
     /** All output was handed to the socket. */
     protected void written() { }
 
-    /** Whether to go on reading; a connection that says no calls {@link #readMore} later. */
+    /**
+     * Whether to take what was read; a connection that says no calls {@link #readMore} later. Reading goes on ahead of
+     * that, as far as there is room, so that the peer's end is seen behind what waits.
+     */
     protected boolean wantsInput() {
         return true;
     }
 
+    /** Whether what is read is of no use any more and is dropped; the peer's end is still seen. */
+    protected boolean dropsInput() {
+        return false;
+    }
+
+    /** Bytes, or the peer's end, were read from the system and have not been looked at yet. */
+    public final boolean hasUnseen() {
+        return unseen;
+    }
+
+    /** Whether it is ending in order: its last output is out, or is being written, and nothing of it counts any more. */
+    protected final boolean isEnding() {
+        return closed || closeWhenWritten != null || peerEnded != null;
+    }
+
     /** Called once, after the socket was closed. */
     protected abstract void ended(CloseReason reason);
 
@@ -99,9 +124,7 @@
 
     /** Goes on after a move, on the new loop: with what had been read before, then with what comes. */
     protected final void resume() {
-        reading = true;
         offer();
-        reading = false;
         readMore();
     }
 
@@ -125,7 +148,7 @@
             } else {
                 start();
             }
-        }));
+        }, false));
     }
 
     /** Begins reading on a channel that is connected. */
@@ -142,35 +165,57 @@
     }
 
     protected final void readMore() {
-        if (reading || closed || !connected || peerEnded != null || closeWhenWritten != null || moving != null
-                || !wantsInput()) {
+        if (offering || closed || !connected || peerEnded != null || closeWhenWritten != null || moving != null) {
             return;
         }
-        if (paused) {
+        if (paused && wantsInput() && (!reading || readingAhead)) {
             // Nothing more may ever come that would have the rest looked at.
-            reading = true;
             offer();
-            reading = false;
             if (moving != null) {
                 move();
                 return;
             }
-            if (paused || closed || closeWhenWritten != null || !wantsInput()) {
+            if (closed || closeWhenWritten != null) {
                 return;
             }
         }
-        if (!input.hasRemaining() && !grow()) {
+        if (reading) {
             return;
         }
-        reading = true;
-        channel.read(input, null, handler(this::onRead));
+        if (wantsInput()) {
+            if (!input.hasRemaining() && !grow()) {
+                return;
+            }
+            reading = true;
+            channel.read(input, null, handler(this::onRead, true));
+        } else if (hasRoomAhead()) {
+            // What waits in the input may be taken while this read is out, so it has a buffer of its own.
+            ahead = ahead == null ? ByteBuffer.allocate(FIRST_BUFFER) : ahead.clear();
+            reading = true;
+            readingAhead = true;
+            channel.read(ahead, null, handler(this::onRead, true));
+        }
+    }
+
+    /** Whether what a read ahead may bring fits behind what waits; where not, the peer's end is seen later. */
+    private boolean hasRoomAhead() {
+        if (dropsInput()) {
+            dropped += input.position();
+            input.clear();
+            paused = false;
+            return dropped <= GREATEST_DROPPED;
+        }
+        return input.remaining() >= FIRST_BUFFER
+                || input.capacity() < Math.min(greatestBuffer, GREATEST_AHEAD) && enlarge();
     }
 
     private void onRead(Integer count, Throwable failure) {
+        boolean wasAhead = readingAhead;
+        readingAhead = false;
         if (failure != null || count < 0) {
             reading = false;
             // Whether a request was written whole is known only when the write that is out has ended: a peer's
-            // end may be seen before it, and taken alone would pass for "never ran".
+            // end may be seen before it, and taken alone would pass for "never ran". Until then nothing is begun.
             peerEnded = failure != null ? CloseReason.PEER_RESET : CloseReason.PEER_CLOSED;
             if (writing == null) {
                 close(closeWhenWritten != null ? closeWhenWritten : peerEnded);
@@ -182,9 +227,16 @@
             drop(count);
             return;
         }
-        // Still marked as reading: a read begun from within would fill the buffer while it is being parsed.
-        offer();
+        if (wasAhead) {
+            input.put(ahead.flip());
+            ahead = null;
+        }
         reading = false;
+        if (wantsInput()) {
+            offer();
+        } else {
+            paused = true;
+        }
         if (moving != null) {
             move();
         } else {
@@ -192,7 +244,9 @@
         }
     }
 
+    /** No read is begun from within: it would fill the buffer while it is being parsed. */
     private void offer() {
+        offering = true;
         input.flip();
         int before;
         do {
@@ -205,19 +259,27 @@
             network.budget().giveBack(input.capacity() - FIRST_BUFFER);
             input = ByteBuffer.allocate(FIRST_BUFFER);
         }
+        offering = false;
     }
 
     /** A message larger than the buffer: more room within this connection's bound and that of all together. */
     private boolean grow() {
-        int wanted = Math.min(greatestBuffer, input.capacity() * 4);
-        if (wanted == input.capacity()) {
+        if (input.capacity() == greatestBuffer) {
             refuse(CloseReason.TOO_LARGE);
             return false;
         }
-        if (!network.budget().take(wanted - input.capacity())) {
+        if (!enlarge()) {
             refuse(CloseReason.NO_MEMORY);
             return false;
         }
+        return true;
+    }
+
+    private boolean enlarge() {
+        int wanted = Math.min(greatestBuffer, input.capacity() * 4);
+        if (!network.budget().take(wanted - input.capacity())) {
+            return false;
+        }
         ByteBuffer larger = ByteBuffer.allocate(wanted);
         larger.put(input.flip());
         input = larger;
@@ -236,6 +298,19 @@
         }
     }
 
+    /**
+     * Ends a connection of which nothing is owed in order: stops sending, then reads to the peer's end, within a bound,
+     * and closes. What the peer sent until it saw that end is dropped unread, as far as the protocol goes. Not done, and
+     * false, where something was read already and only waits for its turn: that may be a request, which was taken.
+     */
+    protected final boolean rest(CloseReason reason) {
+        if (unseen || moving != null || isEnding()) {
+            return false;
+        }
+        closeWhenWritten(reason);
+        return true;
+    }
+
     /** Writes what is waiting, then closes; nothing more is written, and what still comes is dropped. */
     protected final void closeWhenWritten(CloseReason reason) {
         closeWhenWritten = closeWhenWritten == null ? reason : closeWhenWritten;
@@ -252,6 +327,7 @@
             close(closeWhenWritten);
             return;
         }
+        lingering();
         stall = network.loop().at(now() + LINGER, () -> close(closeWhenWritten));
         toDrop = GREATEST_DROPPED;
         if (!reading) {
@@ -259,6 +335,9 @@
         }
     }
 
+    /** Nothing more is sent on it; it ends with its peer's end, or after a moment. */
+    protected void lingering() { }
+
     private void drop(int count) {
         toDrop -= count;
         if (toDrop <= 0) {
@@ -267,7 +346,7 @@
         }
         reading = true;
         input.clear();
-        channel.read(input, null, handler(this::onRead));
+        channel.read(input, null, handler(this::onRead, true));
     }
 
     final void flush() {
@@ -281,7 +360,7 @@
         writing.flip();
         network.counters().add(Counters.Name.BYTES_OUT, size);
         stall = network.loop().at(now() + STALL, () -> close(CloseReason.WRITE_STALLED));
-        channel.write(writing, null, handler(this::onWritten));
+        channel.write(writing, null, handler(this::onWritten, false));
     }
 
     private void onWritten(Integer count, Throwable failure) {
@@ -290,7 +369,7 @@
             return;
         }
         if (writing.hasRemaining()) {
-            channel.write(writing, null, handler(this::onWritten));
+            channel.write(writing, null, handler(this::onWritten, false));
             return;
         }
         stall.cancel();
@@ -336,7 +415,7 @@
     protected abstract String describe();
 
     /** Passes a result to the turn thread; one that comes after the end is dropped there. */
-    private <T> CompletionHandler<T, Void> handler(BiConsumer<T, Throwable> then) {
+    private <T> CompletionHandler<T, Void> handler(BiConsumer<T, Throwable> then, boolean ofRead) {
         return new CompletionHandler<>() {
             @Override
             public void completed(T result, Void none) {
@@ -349,8 +428,14 @@
             }
 
             private void pass(T result, Throwable failure) {
+                if (ofRead) {
+                    unseen = true;
+                }
                 network.post(() -> {
                     try {
+                        if (ofRead) {
+                            unseen = false;
+                        }
                         if (!closed) {
                             then.accept(result, failure);
                         }
--- a/gateway/src/main/java/shelffront/server/Servers.java
+++ b/gateway/src/main/java/shelffront/server/Servers.java
@@ -145,6 +145,10 @@
             return;
         }
         HostConnection connection = host.idle.pollLast();
+        while (connection != null && connection.hasUnseen()) {
+            // Its end, or what nobody asked for, waits to be looked at: written to, it would seem to have been sent.
+            connection = host.idle.pollLast();
+        }
         if (connection != null) {
             carry(connection, errand);
             return;
