--- a/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
+++ b/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
@@ -16,8 +16,10 @@
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import shelffront.hosted.Hosted;
@@ -315,6 +317,80 @@
         assertEquals(before, set.boxes().get(1).begun());
     }
 
+    /** The same classes in the opposite order, on boxes of the same names, which are others. */
+    private static ObjectNode mirrored(String id, StandInSet set) {
+        ObjectNode tenant = tenant(id, set).put("graceMs", 10_000);
+        ArrayNode classes = (ArrayNode) tenant.path("classes");
+        classes.add(classes.remove(0));
+        return tenant;
+    }
+
+    private static Set<String> firstLetters(StandInSet set) {
+        return set.effects().keySet().stream().map(k -> k.substring(0, 1)).collect(Collectors.toSet());
+    }
+
+    /**
+     * Where settings and connections are kept and taken up again: a client's connection for its life, connections to
+     * boxes between requests, classes by their number. Nothing of one tenant is met by another's requests.
+     */
+    @Test
+    void nothingOfOneTenantServesAnother() throws Exception {
+        StandInSet ours = boxes("s", 1, 1);
+        StandInSet theirs = boxes("s", 1, 1);
+        start(tenant("one", ours), mirrored("other", theirs));
+        Client a = new Client("one", null);
+        Client b = new Client("other", null);
+        assertEquals(List.of(), a.answers());
+        assertEquals(List.of(), b.answers());
+        for (int i = 0; i < 50; i++) {
+            String type = i % 2 == 0 ? "write" : "read";
+            a.send("a" + i, type);
+            b.send("b" + i, type);
+            assertEquals(List.of("a" + i), a.answers());
+            assertEquals(List.of("b" + i), b.answers());
+        }
+        assertEquals(Set.of("a"), firstLetters(ours));
+        assertEquals(Set.of("b"), firstLetters(theirs));
+        assertEquals(25, ours.effects().size());
+        assertEquals(25, theirs.effects().size());
+    }
+
+    /** Removed with a request in work and made anew at once, with other boxes and classes, under the same name. */
+    @Test
+    void aTenantMadeAnewServesNobodyOfTheOldOne() throws Exception {
+        StandInSet before = boxes("s", 1, 20);
+        StandInSet after = boxes("s", 1, 1);
+        start(tenant("one", before).put("graceMs", 10_000));
+        Client old = new Client("one", null);
+        assertEquals(List.of(), old.answers());
+        old.send("o1", "write");
+        assertEquals(List.of("o1"), old.answers());
+        old.send("o2", "write");
+        untilTaken(2);
+        CompletableFuture<Long> gone = new CompletableFuture<>();
+        hosted.remove("one", gone::complete);
+        CompletableFuture<Long> inForce = new CompletableFuture<>();
+        hosted.apply(SpecJson.read(mirrored("one", after)), inForce::complete);
+        inForce.get(MISSING_MS, TimeUnit.MILLISECONDS);
+        Client next = new Client("one", null);
+        assertEquals(List.of(), next.answers());
+        next.send("n1", "write");
+        assertEquals(List.of("n1"), next.answers());
+        assertEquals(List.of("o2"), old.answers());
+        // What the old connection still asks is refused, or met by its end: never served by the new boxes.
+        try {
+            old.send("o3", "write");
+            assertTrue(List.of(List.of(), List.of("57P03")).contains(old.answers()));
+        } catch (SocketException e) {
+            // its end was there first
+        }
+        gone.get(MISSING_MS, TimeUnit.MILLISECONDS);
+        next.send("n2", "write");
+        assertEquals(List.of("n2"), next.answers());
+        assertEquals(Set.of("o"), firstLetters(before));
+        assertEquals(Set.of("n"), firstLetters(after));
+    }
+
     /** A wrong key, another tenant's key and a name that nobody has are told the same. */
     @Test
     void keysAreOfOneTenantAlone() throws Exception {
