Call the loop an event loop, and the class that plays recorded exchanges PlayRunner

Need: names follow the field's terms. A turn loop is an event loop, and the test class Stage is no stage of a fleet.

No change of behaviour. Left: boxes, which the administration's interface names so.

--- a/core/src/main/java/shelffront/share/Placement.java
+++ b/core/src/main/java/shelffront/share/Placement.java
@@ -1,7 +1,7 @@
 package shelffront.share;
 
 /**
- * On which of several turn loops a tenant lives. It is chosen when the tenant wakes and has nothing open: then a move
+ * On which of several event loops a tenant lives. It is chosen when the tenant wakes and has nothing open: then a move
  * costs only what its module had learnt. A loop's load is the part of its time that it has worked of late, and what is
  * expected of tenants that woke on it since and are not seen in that yet. Times are microseconds and never step back.
  */
--- a/core/src/main/java/shelffront/share/Shares.java
+++ b/core/src/main/java/shelffront/share/Shares.java
@@ -16,7 +16,7 @@
  * <p>Costs nothing for tenants that ask for nothing: figures are counted anew at the first request after a window has
  * passed, and only over those who asked of late. Times are microseconds and never step back.
  *
- * <p>Where several turn loops serve tenants, each has its own and all have one {@link Common}: each tells there what
+ * <p>Where several event loops serve tenants, each has its own and all have one {@link Common}: each tells there what
  * its tenants ask for whenever it divides, counts what the others told as asked for too, and takes its own tenants'
  * parts. So all come to the same division, one window late at most, and none waits for another.
  */
--- a/gateway/src/main/java/shelffront/Main.java
+++ b/gateway/src/main/java/shelffront/Main.java
@@ -20,7 +20,7 @@
 import shelffront.net.Log;
 import shelffront.net.Network;
 import shelffront.net.QueuedLog;
-import shelffront.net.TurnLoop;
+import shelffront.net.EventLoop;
 import shelffront.rehearsal.Rehearsal;
 import sun.misc.Signal;
 
@@ -57,7 +57,7 @@
 
     private static Network network(Log log) throws IOException {
         Counters counters = new Counters();
-        TurnLoop loop = new TurnLoop(() -> ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()), counters);
+        EventLoop loop = new EventLoop(() -> ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()), counters);
         return Network.open(loop, new Budget(BUFFER_BYTES), counters, log);
     }
 
@@ -75,7 +75,7 @@
         GatewayConfig config = GatewayConfig.fromEnvironment(System.getenv());
         QueuedLog log = log();
         Network network = network(log);
-        TurnLoop loop = network.loop();
+        EventLoop loop = network.loop();
         Gateway gateway = new Gateway(network, config);
         CountDownLatch stopped = new CountDownLatch(1);
         // The process ends when its hooks return, so the hook stays until all that was taken is answered.
--- a/gateway/src/main/java/shelffront/client/ClientConnection.java
+++ b/gateway/src/main/java/shelffront/client/ClientConnection.java
@@ -14,7 +14,7 @@
 import shelffront.net.CloseReason;
 import shelffront.net.Connection;
 import shelffront.net.Counters;
-import shelffront.net.TurnLoop.Deadline;
+import shelffront.net.EventLoop.Deadline;
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
 import shelffront.pg.Statement;
--- a/gateway/src/main/java/shelffront/client/Clients.java
+++ b/gateway/src/main/java/shelffront/client/Clients.java
@@ -245,9 +245,10 @@
     }
 
     /**
-     * Accepts the next one where there is a place, or somebody to give his up. Where not, that may be so in a moment: one
-     * that has just come turns out to be silent, one in work falls idle. After that moment those that come are told at
-     * once that there is no place, until there is one: what waits in the backlog has been taken, and owes an answer.
+     * Accepts the next one where there is a place, or somebody to give his up. Where not, that may be so in a moment:
+     * one that has just come turns out to be silent, one in work falls idle. After that moment those that come are told
+     * at once that there is no place, until there is one: what waits in the backlog has been taken, and is owed an
+     * answer.
      */
     private void makeRoom() {
         if (listener == null || accepting || !listener.isOpen()) {
--- a/gateway/src/main/java/shelffront/discovery/DiscoveryCall.java
+++ b/gateway/src/main/java/shelffront/discovery/DiscoveryCall.java
@@ -11,7 +11,7 @@
 import shelffront.net.CloseReason;
 import shelffront.net.Connection;
 import shelffront.net.Network;
-import shelffront.net.TurnLoop.Deadline;
+import shelffront.net.EventLoop.Deadline;
 
 /** One call of discovery on a connection of its own. */
 final class DiscoveryCall extends Connection {
--- a/gateway/src/main/java/shelffront/gateway/Gateway.java
+++ b/gateway/src/main/java/shelffront/gateway/Gateway.java
@@ -11,7 +11,7 @@
 import shelffront.config.GatewayConfig;
 import shelffront.net.CloseReason;
 import shelffront.net.Network;
-import shelffront.net.TurnLoop;
+import shelffront.net.EventLoop;
 import shelffront.server.Servers.Login;
 import shelffront.share.Holdings;
 import shelffront.tenant.Tenant;
@@ -28,7 +28,7 @@
     private static final double HOST_SHARE = 0.375;
 
     private final Network network;
-    private final TurnLoop loop;
+    private final EventLoop loop;
     private final Clients clients;
     private final BooleanSupplier idle;
     private final Runnable closing;
@@ -148,7 +148,7 @@
         loop.stop();
     }
 
-    /** Gives back every socket; on the turn thread, or after it has ended. */
+    /** Gives back every socket; on the loop thread, or after it has ended. */
     public void close() {
         clients.close();
         closing.run();
--- a/gateway/src/main/java/shelffront/gateway/Reload.java
+++ b/gateway/src/main/java/shelffront/gateway/Reload.java
@@ -8,7 +8,7 @@
 import shelffront.config.MalformedInputException;
 import shelffront.net.Network;
 
-/** Reads the configuration file anew when told to (SIGHUP), on the turn thread. */
+/** Reads the configuration file anew when told to (SIGHUP), on the loop thread. */
 public final class Reload {
 
     private final Network network;
--- a/gateway/src/main/java/shelffront/hosted/Hosted.java
+++ b/gateway/src/main/java/shelffront/hosted/Hosted.java
@@ -16,7 +16,7 @@
 import shelffront.net.Counters;
 import shelffront.net.Log;
 import shelffront.net.Network;
-import shelffront.net.TurnLoop;
+import shelffront.net.EventLoop;
 import shelffront.stages.ConsulEngine;
 import shelffront.stages.Engine;
 import shelffront.stages.History;
@@ -33,7 +33,7 @@
 public final class Hosted implements Tenancy.Control {
 
     private final Network network;
-    private final TurnLoop loop;
+    private final EventLoop loop;
     private final Lanes lanes;
     private final Gateway gateway;
     private final Store store;
@@ -90,7 +90,7 @@
         return count;
     }
 
-    /** Takes clients and administrators in, and serves until it is drained; the caller's thread is the turn thread. */
+    /** Takes clients and administrators in, and serves until it is drained; the caller's thread is the loop thread. */
     public void run() throws InterruptedException {
         if (admin != null) {
             admin.start();
@@ -163,7 +163,7 @@
         return lanes.held();
     }
 
-    /** The turn loop that a tenant lives on, by its number from 0; -1 where there is none of that name. */
+    /** The event loop that a tenant lives on, by its number from 0; -1 where there is none of that name. */
     public CompletableFuture<Integer> lane(String id) {
         CompletableFuture<Integer> lane = new CompletableFuture<>();
         loop.post(() -> lane.complete(lanes.lane(id)));
--- a/gateway/src/main/java/shelffront/hosted/HostedConfig.java
+++ b/gateway/src/main/java/shelffront/hosted/HostedConfig.java
@@ -18,7 +18,7 @@
  *
  * @param admin where administrators connect; null for no administration
  * @param store the file that keeps what they set; null to keep it in memory only
- * @param cores turn loops, each with a thread; every tenant lives on one of them
+ * @param cores event loops, each with a thread; every tenant lives on one of them
  * @param sockets descriptors that it may use
  * @param bufferBytes for all connections and requests together
  * @param requestsPerSecond what it can take, divided among the tenants by weight; 0 is no bound
--- a/gateway/src/main/java/shelffront/hosted/Lanes.java
+++ b/gateway/src/main/java/shelffront/hosted/Lanes.java
@@ -15,7 +15,7 @@
 import shelffront.net.Counters;
 import shelffront.net.Log;
 import shelffront.net.Network;
-import shelffront.net.TurnLoop;
+import shelffront.net.EventLoop;
 import shelffront.pg.ProtocolException;
 import shelffront.share.Holdings;
 import shelffront.share.Placement;
@@ -25,7 +25,7 @@
 import shelffront.tenant.Tenants;
 
 /**
- * The turn loops of a hosted gateway. The first has the listener and knows where each tenant lives; a connection is
+ * The event loops of a hosted gateway. The first has the listener and knows where each tenant lives; a connection is
  * handed over once it has named its tenant. A tenant's connections, requests, module and timers are all on its own
  * loop, and no loop waits for another: they post to each other.
  *
@@ -66,7 +66,7 @@
         drained = new boolean[config.cores()];
         for (int i = 0; i < config.cores(); i++) {
             Counters counters = new Counters();
-            TurnLoop loop = new TurnLoop(ground.clock(), counters);
+            EventLoop loop = new EventLoop(ground.clock(), counters);
             Network network = Network.open(loop, ground.channels().on(1), buffers, counters, log);
             Tenants tenants = new Tenants(network, new Shares(shares, i, loop.now()), hostSockets,
                     ground.seed() + ((long) i << 20));
@@ -98,7 +98,7 @@
     /** Starts the loops but the first, which its caller runs. */
     void start() {
         for (int i = 1; i < lanes.size(); i++) {
-            TurnLoop loop = lanes.get(i).network().loop();
+            EventLoop loop = lanes.get(i).network().loop();
             Thread thread = new Thread(() -> {
                 try {
                     loop.run();
@@ -120,7 +120,7 @@
         front.channels().shutdown();
     }
 
-    private TurnLoop loop(int lane) {
+    private EventLoop loop(int lane) {
         return lanes.get(lane).network().loop();
     }
 
--- a/gateway/src/main/java/shelffront/net/Connection.java
+++ b/gateway/src/main/java/shelffront/net/Connection.java
@@ -10,7 +10,7 @@
 import java.util.function.BiConsumer;
 
 /**
- * One socket with its buffers, whatever is spoken on it. All methods run on the turn thread. A connection ends
+ * One socket with its buffers, whatever is spoken on it. All methods run on the loop thread. A connection ends
  * exactly once, by {@link #close}, which leaves its line in the log.
  */
 public abstract class Connection {
@@ -28,7 +28,7 @@
     private final ArrayDeque<byte[]> output = new ArrayDeque<>();
     private ByteBuffer input = ByteBuffer.allocate(FIRST_BUFFER);
     private ByteBuffer writing;
-    private TurnLoop.Deadline stall;
+    private EventLoop.Deadline stall;
     private boolean connected;
     private boolean reading;
     private boolean readingAhead;     // the read that is out is not into the input
@@ -76,7 +76,7 @@
         return unseen;
     }
 
-    /** Whether it is ending in order: its last output is out, or is being written, and nothing of it counts any more. */
+    /** Whether it is ending: its peer has ended, or its last output is out or being written. Nothing is begun for it. */
     protected final boolean isEnding() {
         return closed || closeWhenWritten != null || peerEnded != null;
     }
@@ -299,9 +299,9 @@
     }
 
     /**
-     * Ends a connection of which nothing is owed in order: stops sending, then reads to the peer's end, within a bound,
-     * and closes. What the peer sent until it saw that end is dropped unread, as far as the protocol goes. Not done, and
-     * false, where something was read already and only waits for its turn: that may be a request, which was taken.
+     * Ends, in order, a connection of which nothing is owed: stops sending, then reads to the peer's end, within a
+     * bound, and closes. What the peer sent until it saw that end is dropped. Not done, and false, where something was
+     * read already and only waits for its turn: that may be a request, which was taken.
      */
     protected final boolean rest(CloseReason reason) {
         if (unseen || moving != null || isEnding()) {
@@ -414,7 +414,7 @@
     /** What the log line says of this connection beside the reason. */
     protected abstract String describe();
 
-    /** Passes a result to the turn thread; one that comes after the end is dropped there. */
+    /** Passes a result to the loop thread; one that comes after the end is dropped there. */
     private <T> CompletionHandler<T, Void> handler(BiConsumer<T, Throwable> then, boolean ofRead) {
         return new CompletionHandler<>() {
             @Override
--- a/gateway/src/main/java/shelffront/net/Counters.java
+++ b/gateway/src/main/java/shelffront/net/Counters.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import java.util.stream.Collectors;
 
-/** What the program has taken in, sent and answered; owned by the turn thread, printed at exit. */
+/** What the program has taken in, sent and answered; owned by the loop thread, printed at exit. */
 public final class Counters {
 
     public enum Name {
--- a/gateway/src/main/java/shelffront/net/TurnLoop.java
+++ b/gateway/src/main/java/shelffront/net/EventLoop.java
@@ -14,7 +14,7 @@
  * The one thread that owns all state. Completion handlers only {@link #post} what they got; each turn takes what
  * was posted, sweeps the deadlines that are due, then flushes the connections that were written to.
  */
-public final class TurnLoop {
+public final class EventLoop {
 
     /** A task with its time; cancelled by whoever set it when it is no longer needed. */
     public final class Deadline {
@@ -55,13 +55,13 @@
     private volatile long worked;
 
     /** The clock gives Unix microseconds; it may step back, the time seen here never does. */
-    public TurnLoop(LongSupplier clock, Counters counters) {
+    public EventLoop(LongSupplier clock, Counters counters) {
         this.clock = clock;
         this.counters = counters;
         now = clock.getAsLong();
     }
 
-    /** Hands a result to the turn thread; the two ways to post are all that other threads may call. */
+    /** Hands a result to the loop thread; the two ways to post are all that other threads may call. */
     public void post(Runnable result) {
         post(common, result);
     }
--- a/gateway/src/main/java/shelffront/net/Log.java
+++ b/gateway/src/main/java/shelffront/net/Log.java
@@ -1,6 +1,6 @@
 package shelffront.net;
 
-/** Takes the program's lines, one event each. Called by the turn thread, so it must not block. */
+/** Takes the program's lines, one event each. Called by the loop thread, so it must not block. */
 public interface Log {
 
     void println(Object line);
--- a/gateway/src/main/java/shelffront/net/Network.java
+++ b/gateway/src/main/java/shelffront/net/Network.java
@@ -5,18 +5,18 @@
 import shelffront.share.Rounds.Flow;
 
 /**
- * What connections share: the turn loop, the source of channels, the memory budget, counters and the log. Each tenant
+ * What connections share: the event loop, the source of channels, the memory budget, counters and the log. Each tenant
  * has its own view, whose flow takes turns with those of the others; the tenant is empty where there is only one.
  */
-public record Network(TurnLoop loop, Channels channels, Budget budget, Counters counters, Log log,
+public record Network(EventLoop loop, Channels channels, Budget budget, Counters counters, Log log,
         Flow<Runnable> flow, String tenant) {
 
     /** On the machine's sockets. */
-    public static Network open(TurnLoop loop, Budget budget, Counters counters, Log log) throws IOException {
+    public static Network open(EventLoop loop, Budget budget, Counters counters, Log log) throws IOException {
         return open(loop, Channels.sockets(1), budget, counters, log);
     }
 
-    public static Network open(TurnLoop loop, Channels channels, Budget budget, Counters counters, Log log) {
+    public static Network open(EventLoop loop, Channels channels, Budget budget, Counters counters, Log log) {
         return new Network(loop, channels, budget, counters, log, loop.common(), "");
     }
 
@@ -33,7 +33,7 @@
         return new Network(loop, channels, new Budget(budget, bufferBytes), new Counters(counters), log, own, id);
     }
 
-    /** Hands a result to the turn thread, in this view's flow. Any thread may call it. */
+    /** Hands a result to the loop thread, in this view's flow. Any thread may call it. */
     public void post(Runnable result) {
         loop.post(flow, result);
     }
--- a/gateway/src/main/java/shelffront/net/QueuedLog.java
+++ b/gateway/src/main/java/shelffront/net/QueuedLog.java
@@ -42,7 +42,7 @@
     private void write() {
         try {
             while (!closed || !lines.isEmpty()) {
-                // Looks at times of its own instead of being woken for each line, which would cost the turn thread.
+                // Looks at times of its own instead of being woken for each line, which would cost the loop thread.
                 String line = lines.poll();
                 if (line == null) {
                     Thread.sleep(PAUSE_MS);
--- a/gateway/src/main/java/shelffront/server/Errand.java
+++ b/gateway/src/main/java/shelffront/server/Errand.java
@@ -1,7 +1,7 @@
 package shelffront.server;
 
 import shelffront.exchange.Attempt;
-import shelffront.net.TurnLoop.Deadline;
+import shelffront.net.EventLoop.Deadline;
 
 /** What one host connection carries at a time: an attempt, or a probe where there is none. */
 final class Errand {
--- a/gateway/src/main/java/shelffront/server/HostConnection.java
+++ b/gateway/src/main/java/shelffront/server/HostConnection.java
@@ -7,7 +7,7 @@
 import shelffront.net.CloseReason;
 import shelffront.net.Connection;
 import shelffront.net.Network;
-import shelffront.net.TurnLoop.Deadline;
+import shelffront.net.EventLoop.Deadline;
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
 
--- a/gateway/src/main/java/shelffront/tenant/Keys.java
+++ b/gateway/src/main/java/shelffront/tenant/Keys.java
@@ -9,7 +9,7 @@
 
 /**
  * Generated keys, for clients and administrators: 256 random bits, shown once. Only a hash is kept; a key of that size
- * can't be guessed, so that one round of SHA-256 is enough and costs the turn thread microseconds.
+ * can't be guessed, so that one round of SHA-256 is enough and costs the loop thread microseconds.
  */
 public final class Keys {
 
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -17,8 +17,8 @@
 import shelffront.net.CloseReason;
 import shelffront.net.Counters;
 import shelffront.net.Network;
-import shelffront.net.TurnLoop;
-import shelffront.net.TurnLoop.Deadline;
+import shelffront.net.EventLoop;
+import shelffront.net.EventLoop.Deadline;
 import shelffront.pg.ProtocolException;
 import shelffront.route.Router;
 import shelffront.route.Router.Availability;
@@ -36,7 +36,7 @@
 
 /**
  * One tenant while it runs: its decision module, boxes, sessions and requests. Joins the client side, the server side
- * and discovery to the module, and carries out what that asks. All on the turn thread.
+ * and discovery to the module, and carries out what that asks. All on the loop thread.
  *
  * <p>A tenant without clients sleeps: it has no connection, no watch and no timer, and its module sees no events. What
  * the module knows of sessions' writes stays; of boxes it knows nothing when it wakes, and learns it anew.
@@ -54,7 +54,7 @@
     private enum State { ASLEEP, ACTIVE, DRAINING, GONE }
 
     private final Network network;
-    private final TurnLoop loop;
+    private final EventLoop loop;
     private final long seed;
     private final Shares shares;          // null where it has the gateway to itself
     private final Shares.Share share;
--- a/gateway/src/main/java/shelffront/tenant/Tenants.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenants.java
@@ -16,7 +16,7 @@
 
 /**
  * The tenants of a gateway by their names, and the door by which clients find theirs: the database of the startup
- * message. What all use is divided among them by {@link Shares}. On the turn thread.
+ * message. What all use is divided among them by {@link Shares}. On the loop thread.
  */
 public final class Tenants implements Clients.Door {
 
--- a/gateway/src/test/java/shelffront/gateway/BrokenAnswerTest.java
+++ b/gateway/src/test/java/shelffront/gateway/BrokenAnswerTest.java
@@ -23,12 +23,12 @@
     private static final String ROW = "\"T\"{0001\"blob\"00 00000000000000000011FFFFFFFFFFFF0001}"
             + " \"D\"{0001(00FF27)} \"C\"{\"SELECT 1\"00}";
     private static final String READY = "\"Z\"{\"I\"}";
-    private static final byte[] WHOLE = Stage.bytes(ROW + " \"S\"{\"server_role\"00\"writer\"00} " + READY);
+    private static final byte[] WHOLE = PlayRunner.bytes(ROW + " \"S\"{\"server_role\"00\"writer\"00} " + READY);
     /** Where the host has said how the request ended, and stops at the end of a message. */
-    private static final Set<Integer> SAID = Set.of(Stage.bytes(ROW).length, WHOLE.length - Stage.bytes(READY).length,
-            WHOLE.length);
-    private static final byte[] ADMIT = Stage.bytes("\"R\"{00000000} " + READY);
-    private static final byte[] REPORT = Stage.bytes("\"T\"{0001\"usage\"00 00000000000000000019FFFFFFFFFFFF0000}"
+    private static final Set<Integer> SAID = Set.of(PlayRunner.bytes(ROW).length,
+            WHOLE.length - PlayRunner.bytes(READY).length, WHOLE.length);
+    private static final byte[] ADMIT = PlayRunner.bytes("\"R\"{00000000} " + READY);
+    private static final byte[] REPORT = PlayRunner.bytes("\"T\"{0001\"usage\"00 00000000000000000019FFFFFFFFFFFF0000}"
             + " \"D\"{0001(\"x0=1800000000.000,x1=1,queue=0\")} \"C\"{\"SHOW\"00} " + READY);
 
     /** A primary that answers all it is asked, but breaks off in the first answer to a request. */
@@ -95,14 +95,14 @@
 
     /** Plays a request whose first answer breaks off; gives how often it reached the host. */
     private static int play(String effect, int cut, boolean reset, String answer) throws Exception {
-        try (Stage stage = new Stage()) {
+        try (PlayRunner runner = new PlayRunner()) {
             Host host = new Host(cut, reset);
             String name = effect + " cut after " + cut + (reset ? " by a reset" : "");
-            stage.play(name, List.of("set \"by_key\" \"" + effect + "\"", "include start"));
-            Socket first = stage.socket("h1");
-            host.serve(stage.party("m1"));
+            runner.play(name, List.of("set \"by_key\" \"" + effect + "\"", "include start"));
+            Socket first = runner.socket("h1");
+            host.serve(runner.party("m1"));
             Host.daemon(() -> host.answer(first));
-            stage.play(name, List.of("c opens",
+            runner.play(name, List.of("c opens",
                     "c > @hello \"Q\"{\"/* id=a,c=order,d=3000,k=5c0f,cluster=1 */ INSERT INTO rows\"00}",
                     "c < @welcome " + answer + " @ready", "c > \"Q\"{\" ;\"00}", "c < \"I\"{} @ready"));
             return host.requests.get();
@@ -123,7 +123,7 @@
             assertEquals("cut after " + cut, 1, play("once", cut, false, SAID.contains(cut) ? "@row" : failed));
         }
         // A reset may destroy what was written before it, so only what was never whole is sure to have failed.
-        for (int cut = 0; cut < Stage.bytes(ROW).length; cut++) {
+        for (int cut = 0; cut < PlayRunner.bytes(ROW).length; cut++) {
             assertEquals("reset after " + cut, 1, play("once", cut, true, failed));
         }
     }
--- a/gateway/src/test/java/shelffront/gateway/DiscoveryClockTest.java
+++ b/gateway/src/test/java/shelffront/gateway/DiscoveryClockTest.java
@@ -51,8 +51,8 @@
     private static void holds(String mode) throws Exception {
         for (String often : FAULTS.keySet()) {
             for (String last : FAULTS.keySet()) {
-                try (Stage stage = new Stage()) {
-                    stage.play(mode + ", four times " + often + ", then " + last,
+                try (PlayRunner runner = new PlayRunner()) {
+                    runner.play(mode + ", four times " + often + ", then " + last,
                             play(mode, List.of(often, often, often, often, last)));
                 }
             }
--- a/gateway/src/test/java/shelffront/gateway/Stage.java
+++ b/gateway/src/test/java/shelffront/gateway/PlayRunner.java
@@ -33,13 +33,13 @@
 import shelffront.net.Counters;
 import shelffront.net.Log;
 import shelffront.net.Network;
-import shelffront.net.TurnLoop;
+import shelffront.net.EventLoop;
 
 /**
  * Plays the steps of a recorded exchange against a gateway in this process, on sockets with ports of the system's
  * choice. Time is the play's own; the only real limit is the one after which a missing byte counts as missing.
  */
-final class Stage implements AutoCloseable {
+final class PlayRunner implements AutoCloseable {
 
     static final Path PLAYS = Path.of("src/test/resources/plays");
     private static final Path EXAMPLE = Path.of("../docs/example-config.json");
@@ -51,7 +51,7 @@
     private final Map<String, Socket> sockets = new HashMap<>();
     private final BlockingQueue<String> log = new ArrayBlockingQueue<>(10_000);
     private final Counters counters = new Counters();
-    private final TurnLoop loop = new TurnLoop(clock::get, counters);
+    private final EventLoop loop = new EventLoop(clock::get, counters);
     private final Path file;
     private String example;
     private Gateway gateway;
@@ -67,8 +67,8 @@
     private long endsBefore;
     private long written;
 
-    Stage() throws IOException {
-        file = Files.createTempFile("stage", ".json");
+    PlayRunner() throws IOException {
+        file = Files.createTempFile("play", ".json");
         example = Files.readString(EXAMPLE);
     }
 
--- a/gateway/src/test/java/shelffront/gateway/PlayTest.java
+++ b/gateway/src/test/java/shelffront/gateway/PlayTest.java
@@ -22,7 +22,7 @@
 
     @Parameters(name = "{0}")
     public static List<Object[]> plays() throws IOException {
-        try (Stream<Path> files = Files.list(Stage.PLAYS)) {
+        try (Stream<Path> files = Files.list(PlayRunner.PLAYS)) {
             return files.filter(f -> f.toString().endsWith(".play")).sorted()
                     .map(f -> new Object[] {f.getFileName().toString(), f}).toList();
         }
@@ -30,8 +30,8 @@
 
     @Test
     public void goesAsRecorded() throws Exception {
-        try (Stage stage = new Stage()) {
-            stage.play(play);
+        try (PlayRunner runner = new PlayRunner()) {
+            runner.play(play);
         }
     }
 }
--- a/gateway/src/test/java/shelffront/net/TurnLoopTest.java
+++ b/gateway/src/test/java/shelffront/net/EventLoopTest.java
@@ -7,13 +7,13 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.Test;
 
-public class TurnLoopTest {
+public class EventLoopTest {
 
     /** Guards against limits on connections that are over before the first turn, since loading took its time. */
     @Test
     public void aLimitCountsFromTheClockNotFromTheTurn() throws Exception {
         AtomicLong clock = new AtomicLong(1_000_000);
-        TurnLoop loop = new TurnLoop(clock::get, new Counters());
+        EventLoop loop = new EventLoop(clock::get, new Counters());
         List<String> ran = new ArrayList<>();
         clock.addAndGet(300_000);
         loop.after(250_000, () -> ran.add("limit"));
--- a/gateway/src/test/java/shelffront/net/QueuedLogTest.java
+++ b/gateway/src/test/java/shelffront/net/QueuedLogTest.java
@@ -37,7 +37,7 @@
         }
     }
 
-    /** Guards the turn thread: it was the one that wrote, and a reader that stalled stalled the gateway. */
+    /** Guards the loop thread: it was the one that wrote, and a reader that stalled stalled the gateway. */
     @Test
     void aReaderThatStallsHoldsUpNobodyAndLostLinesAreCounted() throws Exception {
         Stalled reader = new Stalled();
--- a/gateway/src/test/java/shelffront/tenant/TenantSleepTest.java
+++ b/gateway/src/test/java/shelffront/tenant/TenantSleepTest.java
@@ -19,7 +19,7 @@
 import shelffront.net.CloseReason;
 import shelffront.net.Counters;
 import shelffront.net.Network;
-import shelffront.net.TurnLoop;
+import shelffront.net.EventLoop;
 import shelffront.pg.ProtocolException;
 import shelffront.pg.Statement;
 import shelffront.route.Router;
@@ -32,7 +32,7 @@
     private static final long SECOND = 1_000_000;
 
     private final AtomicLong clock = new AtomicLong(1_800_000_000 * SECOND);
-    private final TurnLoop loop = new TurnLoop(clock::get, new Counters());
+    private final EventLoop loop = new EventLoop(clock::get, new Counters());
     private final List<String> answers = new ArrayList<>();
     private Network network;
     private Tenant tenant;
--- a/lab/src/main/java/shelffront/lab/experiment/Experiment.java
+++ b/lab/src/main/java/shelffront/lab/experiment/Experiment.java
@@ -169,7 +169,7 @@
         return tenant;
     }
 
-    /** Nanoseconds of CPU that the gateway's own threads have used: the turn thread and the completions'. */
+    /** Nanoseconds of CPU that the gateway's own threads have used: the loop thread and the completions'. */
     private static long cpu(Thread turns) {
         ThreadMXBean threads = ManagementFactory.getThreadMXBean();
         long sum = threads.getThreadCpuTime(turns.getId());
--- a/lab/src/main/java/shelffront/lab/world/Fleet.java
+++ b/lab/src/main/java/shelffront/lab/world/Fleet.java
@@ -55,7 +55,7 @@
 import shelffront.net.Counters;
 import shelffront.net.Log;
 import shelffront.net.Network;
-import shelffront.net.TurnLoop;
+import shelffront.net.EventLoop;
 import shelffront.pg.ProtocolException;
 import shelffront.pg.Statement;
 import shelffront.route.Router;
@@ -135,7 +135,7 @@
                     networks.get(0).loop().post(hosted::begin);
                 } else {
                     Counters counters = new Counters();
-                    TurnLoop loop = new TurnLoop(() -> scheduler.now() + skew, counters);
+                    EventLoop loop = new EventLoop(() -> scheduler.now() + skew, counters);
                     Network network = Network.open(loop, channels, new Budget(BUFFERS), counters, log);
                     hosted = null;
                     gateway = variant.apply(new Start(network, config, channels));
@@ -201,7 +201,7 @@
         }
 
         /** When a loop has something to do, on the scheduler's clock. */
-        private long due(TurnLoop loop) {
+        private long due(EventLoop loop) {
             long deadline = loop.nextDeadline();
             return loop.isStopped() ? Long.MAX_VALUE : loop.isReady() ? 0
                     : deadline == Long.MAX_VALUE ? deadline : deadline - skew;
--- a/lab/src/main/java/shelffront/lab/world/Scenario.java
+++ b/lab/src/main/java/shelffront/lab/world/Scenario.java
@@ -39,7 +39,7 @@
      * @param work microseconds of its one core for each request, attempt, probe, connection and list
      * @param pauses a second, of 5 to 60 ms each, as of a collector
      * @param tenants of a hosted gateway; 0 for the single one of a platform's file
-     * @param loops turn loops of a hosted gateway
+     * @param loops event loops of a hosted gateway
      * @param connections that its clients open at most to ask what is due; without one a request is not asked
      */
     public record Means(int sockets, long work, double pauses, int tenants, int loops, int connections) {
--- a/lab/src/test/java/shelffront/lab/HostedLoopsTest.java
+++ b/lab/src/test/java/shelffront/lab/HostedLoopsTest.java
@@ -20,7 +20,7 @@
 import shelffront.pg.Message;
 import shelffront.tenant.Keys;
 
-/** All that holds of one turn loop, on three; and what only several have: connections handed over, tenants that move. */
+/** All that holds of one event loop, on three; and what only several have: connections handed over, tenants that move. */
 class HostedLoopsTest extends HostedTenantsTest {
 
     @Override
--- a/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
+++ b/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
@@ -39,7 +39,7 @@
     Hosted hosted;
     private Thread turns;
 
-    /** Turn loops of the gateway. */
+    /** Event loops of the gateway. */
     int cores() {
         return 1;
     }
