Count a pipelined command's time from when its last byte was read, not from its parsing

Checked with a trace at each end of a client under a request in work: on each of them seven or eight commands waited behind the one in work, and it had 0.2 to 1.1 s of its time left by our count while its client had given up. Ruled out: a client that left early (those have nothing waiting behind), an attempt that no cancel frees (attempts had run for 0.03 to 0.8 s of what was left). Cause: ClientConnection.received stamped a command with now() when it was framed; beyond MOST_WAITING commands stand unframed in the input, up to seconds, and their deadline moved with them.

--- a/gateway/src/main/java/shelffront/client/ClientConnection.java
+++ b/gateway/src/main/java/shelffront/client/ClientConnection.java
@@ -161,7 +161,7 @@
                     throw new ProtocolException(NO_MEMORY, "there is no room for the command");
                 }
                 waitingBytes += message.body().length;
-                waiting.add(new Command(message, now(), null, null));
+                waiting.add(new Command(message, arrivalOfTaken(bytes), null, null));
                 asked = true;
             }
         } catch (ProtocolException e) {
--- a/gateway/src/main/java/shelffront/net/Connection.java
+++ b/gateway/src/main/java/shelffront/net/Connection.java
@@ -27,6 +27,8 @@
     private final AsynchronousSocketChannel channel;
     private final ArrayDeque<byte[]> output = new ArrayDeque<>();
     private ByteBuffer input = ByteBuffer.allocate(FIRST_BUFFER);
+    private final ArrivalTimes arrivals = new ArrivalTimes();
+    private long consumed;            // bytes that were taken out of the input before those that it holds
     private ByteBuffer writing;
     private EventLoop.Deadline stall;
     private boolean connected;
@@ -55,6 +57,14 @@
     /** What has arrived and was not consumed; whatever is left in it is offered again with what follows. */
     protected abstract void received(ByteBuffer bytes);
 
+    /**
+     * When the last byte taken from what {@link #received} was given had been read from the socket. Bytes may have
+     * stood in the buffer for long by then, behind commands that come first.
+     */
+    protected final long arrivalOfTaken(ByteBuffer bytes) {
+        return arrivals.readTime(consumed + bytes.position());
+    }
+
     /** All output was handed to the socket. */
     protected void written() { }
 
@@ -201,6 +211,7 @@
     private boolean hasRoomAhead() {
         if (dropsInput()) {
             dropped += input.position();
+            consumed += input.position();
             input.clear();
             paused = false;
             return dropped <= GREATEST_DROPPED;
@@ -227,6 +238,7 @@
             drop(count);
             return;
         }
+        arrivals.read(count, now());
         if (wasAhead) {
             input.put(ahead.flip());
             ahead = null;
@@ -254,7 +266,11 @@
             received(input);
         } while (input.remaining() < before && input.hasRemaining() && !closed && moving == null && wantsInput());
         paused = input.hasRemaining() && !wantsInput();
+        consumed += input.position();
         input.compact();
+        if (input.position() == 0) {
+            arrivals.allTaken();
+        }
         if (input.position() == 0 && input.capacity() > FIRST_BUFFER) {
             network.budget().giveBack(input.capacity() - FIRST_BUFFER);
             input = ByteBuffer.allocate(FIRST_BUFFER);
