Say that SIGHUP is ignored and look at the configuration file instead

Cause: the JVM leaves a SIGHUP alone that was ignored when it started, and Signal.handle then answers SIG_IGN and calls no handler. Ruled out: the handler's place in the start; it is the inherited disposition alone.

Change: gateway.ReloadSignal, installed before the file is first read, keeps orders that come early; where the signal is ignored it says so in one line and gateway.ConfigFileWatch looks at the file once a second on a daemon thread. Where the signal arrives nothing is looked at. ServeIT's tests have a limit of a minute each, so that a line that never comes fails the test and does not hang the build.

--- a/gateway/src/main/java/shelffront/Main.java
+++ b/gateway/src/main/java/shelffront/Main.java
@@ -15,6 +15,7 @@
 import shelffront.config.MalformedInputException;
 import shelffront.gateway.Gateway;
 import shelffront.gateway.Reload;
+import shelffront.gateway.ReloadSignal;
 import shelffront.net.Budget;
 import shelffront.net.Counters;
 import shelffront.net.Log;
@@ -22,7 +23,6 @@
 import shelffront.net.QueuedLog;
 import shelffront.net.EventLoop;
 import shelffront.rehearsal.Rehearsal;
-import sun.misc.Signal;
 
 /**
  * The commands: {@code serve} runs a gateway, {@code benchlink} speaks the simulator's wire, {@code rehearse} is the
@@ -72,6 +72,7 @@
     }
 
     private static void serve() throws IOException, MalformedInputException, InterruptedException {
+        ReloadSignal reloadSignal = ReloadSignal.install(GatewayConfig.file(System.getenv()));
         GatewayConfig config = GatewayConfig.fromEnvironment(System.getenv());
         QueuedLog log = log();
         Network network = network(log);
@@ -89,8 +90,7 @@
             }
         }, "stop"));
         Reload reload = new Reload(network, gateway, System.getenv());
-        // Before the gateway is ready: without a handler the JVM ends on SIGHUP.
-        Signal.handle(new Signal("HUP"), signal -> reload.ask());
+        reloadSignal.handleWith(reload::ask, network.log());
         gateway.start();
         network.log().println("gateway " + config.name() + " listens on " + gateway.address() + ", discovery is "
                 + config.discovery());
--- a/gateway/src/main/java/shelffront/cli/Cli.java
+++ b/gateway/src/main/java/shelffront/cli/Cli.java
@@ -28,6 +28,7 @@
 import picocli.CommandLine.ScopeType;
 import picocli.CommandLine.Spec;
 import shelffront.admin.Tokens;
+import shelffront.gateway.ReloadSignal;
 import shelffront.hosted.Hosted;
 import shelffront.hosted.HostedConfig;
 import shelffront.logging.Logs;
@@ -38,7 +39,6 @@
 import shelffront.store.Store.Kind;
 import shelffront.tenant.SpecJson;
 import shelffront.tenant.SpecJson.SpecException;
-import sun.misc.Signal;
 
 /**
  * The command line. Exit codes: 0 done, 1 it could not be done and says why, 2 the command line was not understood.
@@ -110,6 +110,7 @@
         public Integer call() throws Exception {
             QueuedLog lines = new QueuedLog(new PrintStream(new FileOutputStream(FileDescriptor.out)));
             Log log = Logs.open(format == Format.JSON, lines);
+            ReloadSignal reloadSignal = ReloadSignal.install(file);
             Hosted hosted = new Hosted(config(file), log);
             CountDownLatch stopped = new CountDownLatch(1);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> {
@@ -121,14 +122,7 @@
                     Thread.currentThread().interrupt();
                 }
             }, "stop"));
-            // Without a handler the JVM ends on SIGHUP.
-            Signal.handle(new Signal("HUP"), signal -> {
-                try {
-                    log.println("read " + file + " anew, " + hosted.seed(config(file)) + " tenants put in");
-                } catch (Failure | SpecException | ConflictException | RuntimeException e) {
-                    log.println("reload failed, what was in force stays: " + e.getMessage());
-                }
-            });
+            reloadSignal.handleWith(() -> reload(hosted, log), log);
             if (hosted.adminAddress() != null && hosted.store().all(Kind.TOKEN).isEmpty()) {
                 log.println("first operator token, shown once: " + hosted.tokens().create(null, "first start"));
             }
@@ -138,6 +132,14 @@
             stopped.countDown();
             return 0;
         }
+
+        private void reload(Hosted hosted, Log log) {
+            try {
+                log.println("read " + file + " anew, " + hosted.seed(config(file)) + " tenants put in");
+            } catch (Failure | SpecException | ConflictException | RuntimeException e) {
+                log.println("reload failed, what was in force stays: " + e.getMessage());
+            }
+        }
     }
 
     /** Stands in the help; without options it is started without this class. */
--- a/gateway/src/main/java/shelffront/config/GatewayConfig.java
+++ b/gateway/src/main/java/shelffront/config/GatewayConfig.java
@@ -18,11 +18,7 @@
 
     public static GatewayConfig fromEnvironment(Map<String, String> environment)
             throws IOException, MalformedInputException {
-        String path = environment.get("BALANCER_CONFIG");
-        if (path == null) {
-            throw new MalformedInputException("BALANCER_CONFIG is not set");
-        }
-        Map<?, ?> top = Json.object(text(Path.of(path)));
+        Map<?, ?> top = Json.object(text(file(environment)));
         Map<?, ?> settings = Json.part(top, "settings");
         return new GatewayConfig(given(environment, "BALANCER_NAME", top, "name"),
                 address(given(environment, "BALANCER_LISTEN", top, "listen")),
@@ -33,6 +29,15 @@
                 SettingsReader.read(settings), MemberList.read(Json.part(top, "known")));
     }
 
+    /** The configuration file that the environment names. */
+    public static Path file(Map<String, String> environment) throws MalformedInputException {
+        String path = environment.get("BALANCER_CONFIG");
+        if (path == null) {
+            throw new MalformedInputException("BALANCER_CONFIG is not set");
+        }
+        return Path.of(path);
+    }
+
     /** Guards a running gateway that reads its file anew against one too large for its memory. */
     private static String text(Path path) throws IOException, MalformedInputException {
         try (InputStream in = Files.newInputStream(path)) {
--- a/gateway/src/test/java/shelffront/ServeIT.java
+++ b/gateway/src/test/java/shelffront/ServeIT.java
@@ -20,12 +20,13 @@
 public class ServeIT {
 
     private static final int MISSING_MS = 20_000;
+    private static final int HANGING_MS = 60_000;
 
     @Rule
     public final TemporaryFolder folder = new TemporaryFolder();
 
     /** Guards against a JVM that ends on SIGHUP, with all that the gateway had taken. */
-    @Test
+    @Test(timeout = HANGING_MS)
     public void readsItsFileAnewOnSighupAndEndsOnSigterm() throws Exception {
         Path file = folder.newFile("config.json").toPath();
         try (ServerSocket before = listen(); ServerSocket after = listen()) {
@@ -50,8 +51,31 @@
         }
     }
 
+    /** A JVM that was started with SIGHUP ignored keeps it ignored: no new configuration was taken up, and none said so. */
+    @Test(timeout = HANGING_MS)
+    public void saysThatSighupIsIgnoredAndTakesUpTheFileAllTheSame() throws Exception {
+        Path file = folder.newFile("config.json").toPath();
+        try (ServerSocket before = listen(); ServerSocket after = listen()) {
+            write(file, before);
+            ProcessBuilder builder = builder(Map.of("BALANCER_CONFIG", file.toString(),
+                    "BALANCER_LISTEN", "127.0.0.1:0", "BALANCER_DISCOVERY", address(before)),
+                    "sh", "-c", "trap '' HUP; exec java -jar target/shelffront.jar serve");
+            Process gateway = builder.start();
+            try (BufferedReader log = gateway.inputReader(); Socket watch = before.accept()) {
+                await(log, "SIGHUP is ignored");
+                await(log, "listens on");
+                write(file, after);
+                signal(gateway, "HUP");
+                await(log, "reloaded, discovery is /" + address(after));
+                after.accept().close();
+            } finally {
+                gateway.destroyForcibly();
+            }
+        }
+    }
+
     /** Guards the build's last step, which leaves the archive of classes, and through it the first seconds. */
-    @Test
+    @Test(timeout = HANGING_MS)
     public void rehearsesEveryClassOfRequest() throws Exception {
         Process rehearsal = start("rehearse", Map.of("BALANCER_CONFIG", "../docs/example-config.json"));
         try (BufferedReader log = rehearsal.inputReader()) {
@@ -64,10 +88,14 @@
     }
 
     private static Process start(String command, Map<String, String> environment) throws IOException {
-        ProcessBuilder builder = new ProcessBuilder("java", "-jar", "target/shelffront.jar", command);
+        return builder(environment, "java", "-jar", "target/shelffront.jar", command).start();
+    }
+
+    private static ProcessBuilder builder(Map<String, String> environment, String... command) {
+        ProcessBuilder builder = new ProcessBuilder(command);
         builder.environment().keySet().removeIf(name -> name.startsWith("BALANCER_"));
         builder.environment().putAll(environment);
-        return builder.redirectErrorStream(true).start();
+        return builder.redirectErrorStream(true);
     }
 
     private static ServerSocket listen() throws IOException {
