Ask Progress whether news of a replica is due, in place of a sum inside Membership

Measured: the tests of core pass unchanged (OrdinaryPathTest, FailureTest, FleetChoiceTest, RulesTest).

--- a/core/src/main/java/shelffront/decide/Membership.java
+++ b/core/src/main/java/shelffront/decide/Membership.java
@@ -7,20 +7,19 @@
 import java.util.Comparator;
 import java.util.List;
 import shelffront.fleet.Subsets;
-import shelffront.marks.Progress;
 import shelffront.route.Router.Member;
 
 /** The members that the list names, and the probes sent to them. */
 record Membership(State state) {
 
-    static final double FIRST_LIMIT = 24;  // Of all instances to a member of which nothing is known.
-    static final int PROBES_AT_ONCE = 2;  // In a group whose reads wait.
+    static final double FIRST_LIMIT = 24; // Of all instances to a member of which nothing is known.
+    static final int PROBES_AT_ONCE = 2; // In a group whose reads wait.
 
     void open(Member m) {
         Node before = state.nodes.get(m.id());
         if (before != null && before.entry.group() != m.group()) {
             before.open = false;
-            close(before, true);          // what is known of it is of another set's log
+            close(before, true); // what is known of it is of another set's log
         }
         Node n = state.nodes.computeIfAbsent(m.id(), Node::new);
         boolean fresh = n.entry == null || !n.open || n.entry.startedAt() != m.startedAt();
@@ -55,7 +54,7 @@
 
     void close(Node n, boolean gone) {
         if (gone && n.open && state.settings.rules().softRemoval()) {
-            return;                       // the list does not prove it down (rule 6): own attempts tell
+            return; // the list does not prove it down (rule 6): own attempts tell
         }
         n.open = false;
         if (gone) {
@@ -78,9 +77,8 @@
     void wantPositions(Group g) {
         boolean lost = g.primary == null || state.now < g.primary.bannedUntil || g.primary.onTrial;
         long out = g.nodes.values().stream().filter(n -> n.probing).count();
-        List<Node> old = g.nodes.values().stream().filter(n -> (lost || n != g.primary)
-                && state.now - Math.max(n.probedAt, lost ? UNKNOWN : n.progress.heardAt())
-                        > (lost ? Progress.OLD / 2 : n.progress.newsAfter()))
+        List<Node> old = g.nodes.values().stream().filter(n -> lost || n != g.primary)
+                .filter(n -> n.progress.newsIsDue(state.now, n.probedAt, lost))
                 .collect(toList());
         Collections.shuffle(old, state.random);
         // What waits for the primary has no other; then those that are used most.
--- a/core/src/main/java/shelffront/marks/Progress.java
+++ b/core/src/main/java/shelffront/marks/Progress.java
@@ -10,9 +10,9 @@
     /** That a replica which refuses what it lacks keeps its pace. */
     private static final long TRUST = 20_000_000;
 
-    private long position = UNKNOWN;      // applied up to here; only moves forward
-    private long heardAt = UNKNOWN;       // when that position was heard
-    private long missedAt = UNKNOWN;      // when it turned a read away as too recent
+    private long position = UNKNOWN; // applied up to here; only moves forward
+    private long heardAt = UNKNOWN; // when that position was heard
+    private long missedAt = UNKNOWN; // when it turned a read away as too recent
 
     public long heardAt() {
         return heardAt;
@@ -57,6 +57,16 @@
                 && position + (now - heardAt) + patience >= need;
     }
 
+    /**
+     * Whether a probe may tell something new.
+     *
+     * @param wanted whether it lives is what is asked, so that what was heard of its position does not count
+     */
+    public boolean newsIsDue(long now, long probedAt, boolean wanted) {
+        long last = Math.max(probedAt, wanted ? UNKNOWN : heardAt);
+        return now - last > (wanted ? OLD / 2 : newsAfter());
+    }
+
     /** Time after the last word, or question, from which a probe may tell something new: one that was far behind is
      *  so for a while, for it catches up no faster than it applies. */
     public long newsAfter() {
--- a/core/src/main/java/shelffront/marks/SessionMarks.java
+++ b/core/src/main/java/shelffront/marks/SessionMarks.java
@@ -12,7 +12,7 @@
  */
 public final class SessionMarks {
 
-    private record Mark(int group, long position) { }
+    private record Mark(int group, long position) {}
 
     private final int most;
     private final LinkedHashMap<String, Mark> sessions = new LinkedHashMap<>();
@@ -34,7 +34,9 @@
         }
     }
 
-    /** Position that a read of the session must see; UNKNOWN where no write of its group was forgotten or of it seen. */
+    /**
+     * Position that a read of the session must see; UNKNOWN where no write of its group was forgotten or of it seen.
+     */
     public long of(String session, int group) {
         Mark mark = sessions.get(session);
         return Math.max(mark == null ? UNKNOWN : mark.position, floors.getOrDefault(group, UNKNOWN));
