--- a/core/src/main/java/shelffront/decide/Attempt.java
+++ b/core/src/main/java/shelffront/decide/Attempt.java
@@ -9,8 +9,8 @@
     final Node node;
     final int number;
     final long sentAt;
-    final long need;                  // position that the answer had to have
-    Status status;                    // null while it is out
+    final long need; // position that the answer had to have
+    Status status; // null while it is out
 
     Attempt(Pending request, Node node, long now) {
         this.request = request;
--- a/core/src/main/java/shelffront/decide/Choice.java
+++ b/core/src/main/java/shelffront/decide/Choice.java
@@ -6,12 +6,12 @@
 /** The ordinary path: the member that a request goes to, or none yet. */
 record Choice(State state, Health health, Positions positions) {
 
-    static final long HOLD = 50_000;  // Longest wait for a replica that covers (design).
-    static final long SCOUT_PAUSE = 100_000;  // After a round of misses; an election takes seconds.
-    static final double IN_TIME = 1.2;  // Usual answer times that an attempt must have left.
-    static final double PRIMARY_SHARE = 0.3;  // Of its places, for reads without need of it (design).
-    static final double FOREIGN = 1.5;  // Cost of a member that other instances prefer.
-    static final double UNCONNECTED = 1.5;  // Cost of a member to which no connection is open.
+    static final long HOLD = 50_000; // Longest wait for a replica that covers (design).
+    static final long SCOUT_PAUSE = 100_000; // After a round of misses; an election takes seconds.
+    static final double IN_TIME = 1.2; // Usual answer times that an attempt must have left.
+    static final double PRIMARY_SHARE = 0.3; // Of its places, for reads without need of it (design).
+    static final double FOREIGN = 1.5; // Cost of a member that other instances prefer.
+    static final double UNCONNECTED = 1.5; // Cost of a member to which no connection is open.
 
     Node choose(Pending p) {
         Read read = p.type.read();
--- a/core/src/main/java/shelffront/decide/Decide.java
+++ b/core/src/main/java/shelffront/decide/Decide.java
@@ -148,7 +148,7 @@
             if (status == Status.OK && node.unreachable) {
                 health.alive(node);
             } else if (status == Status.OK && state.now >= node.bannedUntil) {
-                node.onTrial = false;        // else a lone instance could never try it with a once-only write
+                node.onTrial = false; // else a lone instance could never try it with a once-only write
             } else if (status == Status.TIMEOUT
                     || status == Status.CONNECT_FAILED && ++node.breaks > Health.BREAKS) {
                 health.pause(node, "does not answer probes");
--- a/core/src/main/java/shelffront/decide/Guards.java
+++ b/core/src/main/java/shelffront/decide/Guards.java
@@ -27,7 +27,7 @@
         if (warmth(n) >= 1 || p.tried(n)) {
             return warmth(n) >= 1;
         }
-        Node first = n.group.primary;     // its arc comes last
+        Node first = n.group.primary; // its arc comes last
         double before = n.group.nodes.values().stream().filter(e -> e.open && e != first && warmth(e) < 1
                 && (n == first || e.id.compareTo(n.id) < 0)).mapToDouble(this::budget).sum();
         return n.group.cold.admits(state.now, p.request.id(), p.type.needsPrimary(), n == first,
--- a/core/src/main/java/shelffront/decide/Health.java
+++ b/core/src/main/java/shelffront/decide/Health.java
@@ -9,15 +9,15 @@
 /** Whether a member may be tried, and how much at a time: what its answers and its silence say. */
 record Health(State state, Guards guards, Membership membership, Positions positions) {
 
-    static final double SILENT_WAITS = 8;  // Usual answer times that the waits at a silent member add up to.
-    static final long HICCUP = 25_000;  // Less tells nothing: a collection, a busy core.
-    static final long BAN = 300_000;  // The first; doubles with each failure up to the greatest.
+    static final double SILENT_WAITS = 8; // Usual answer times that the waits at a silent member add up to.
+    static final long HICCUP = 25_000; // Less tells nothing: a collection, a busy core.
+    static final long BAN = 300_000; // The first; doubles with each failure up to the greatest.
     static final long BAN_MOST = 2_400_000;
-    static final long PAUSE = 40_000;  // First one after a refused connection or failed probe.
-    static final int BREAKS = 2;  // Lost connections in a row that tell nothing of a member.
-    static final long SCARCE = 20_000_000;  // Connections stay scarce after a refused one.
-    static final double FULL_LOAD = 0.4;  // Answer time by the aim, above which a member is given less.
-    static final double MOST_SLOW = 10;  // Usual answer times that one answer counts at most.
+    static final long PAUSE = 40_000; // First one after a refused connection or failed probe.
+    static final int BREAKS = 2; // Lost connections in a row that tell nothing of a member.
+    static final long SCARCE = 20_000_000; // Connections stay scarce after a refused one.
+    static final double FULL_LOAD = 0.4; // Answer time by the aim, above which a member is given less.
+    static final double MOST_SLOW = 10; // Usual answer times that one answer counts at most.
 
     /** Whether a member may be tried: listed, not banned, not silent, one at a time on trial. */
     boolean healthy(Node n, Pending p) {
@@ -90,7 +90,7 @@
             case MISS -> alive(n);
             case FULL -> n.limit.cut(state.now, n.answers.took(), 0.7);
             case TIMEOUT, CANCELLED -> {
-                if (!a.overtaken()) {        // else its connection is lost, and says nothing of the member
+                if (!a.overtaken()) { // else its connection is lost, and says nothing of the member
                     slowness(n, (state.now - a.sentAt) / state.usual[c]);
                     weigh(n, Math.max(state.now - a.sentAt, n.answers.took()), type);
                 }
@@ -111,7 +111,7 @@
                     membership.probe(n);
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
--- a/core/src/main/java/shelffront/decide/Pending.java
+++ b/core/src/main/java/shelffront/decide/Pending.java
@@ -9,18 +9,18 @@
 /** A request that still owes its final answer. */
 final class Pending {
 
-    static final double LATE_WORTH = 0.5;  // A class with less late is dropped at its aim.
+    static final double LATE_WORTH = 0.5; // A class with less late is dropped at its aim.
 
     final Request request;
     final ClassSettings type;
     final Group group;
     final long arrival;
     final long deadline;
-    final long token;                 // position that a session read must see
+    final long token; // position that a session read must see
     final ArrayList<Attempt> attempts = new ArrayList<>(2);
     boolean open = true;
-    LinkedHashSet<Pending> queue;     // where it is held, or null
-    boolean missed;                   // a replica turned it away: the hold is over
+    LinkedHashSet<Pending> queue; // where it is held, or null
+    boolean missed; // a replica turned it away: the hold is over
 
     Pending(Request request, ClassSettings type, Group group, long token, long now) {
         this.request = request;
--- a/core/src/main/java/shelffront/decide/Queue.java
+++ b/core/src/main/java/shelffront/decide/Queue.java
@@ -9,7 +9,7 @@
 /** The requests in hand: sent, held, looked at again, refused or failed; each ends exactly once. */
 record Queue(State state, Choice choice, Guards guards, Membership membership, Health health) {
 
-    static final int STUCK = 4;  // Held ones that find no member and speak for their class.
+    static final int STUCK = 4; // Held ones that find no member and speak for their class.
 
     /** Puts the queues in the order in which held requests are looked at. */
     void sort() {
@@ -21,7 +21,7 @@
 
     /** Sends the request now if a member suits, else holds it; gives up where no further try can help. */
     void dispatch(Pending p) {
-        if (!p.open || p.outstanding() > 0) {   // the timer of one that was held finds it sent
+        if (!p.open || p.outstanding() > 0) { // the timer of one that was held finds it sent
             return;
         }
         if (p.attempts.size() >= state.settings.limits().attempts() || !guards.mayTryAgain(p)
@@ -105,7 +105,7 @@
         }
         close(p);
         if (p.type.repeatable() || p.mayHaveRun() == null || p.type.keyedFor(Scope.ALL)) {
-            long wait = p.group.primary == null ? 1_000_000 : 200_000;   // usual length of what is in the way
+            long wait = p.group.primary == null ? 1_000_000 : 200_000; // usual length of what is in the way
             state.actions.reject(p.request.id(), state.settings.limits().toldWait(wait));
         } else {
             state.actions.fail(p.request.id());
@@ -117,7 +117,7 @@
         p.open = false;
         p.queue = null;
         state.pending.remove(p.request.id());
-        if (++state.ended > 64 + state.timers.size() / 8) {   // those of ended requests must not pile up
+        if (++state.ended > 64 + state.timers.size() / 8) { // those of ended requests must not pile up
             state.ended = 0;
             state.timers.sweep();
         }
--- a/core/src/main/java/shelffront/decide/State.java
+++ b/core/src/main/java/shelffront/decide/State.java
@@ -26,14 +26,14 @@
     final TreeMap<String, Node> nodes = new TreeMap<>();
     final TreeMap<Integer, Group> groups = new TreeMap<>();
     final HashMap<String, Pending> pending = new HashMap<>();
-    final HashMap<String, Attempt> attemptsOut = new HashMap<>();   // by request id and number
+    final HashMap<String, Attempt> attemptsOut = new HashMap<>(); // by request id and number
     final SessionMarks sessions = new SessionMarks(20_000);
-    final ArrayList<Integer> order = new ArrayList<>();   // of the queues of held requests
-    int ended;                        // requests, since the timers were swept
-    double[] usual;                   // answer time by class, smoothed
+    final ArrayList<Integer> order = new ArrayList<>(); // of the queues of held requests
+    int ended; // requests, since the timers were swept
+    double[] usual; // answer time by class, smoothed
     ProbeAllowance probes;
-    double usualSends;                // sends of late to a warm member of size 1
-    long dearUntil = UNKNOWN;         // connections take too long to set up
+    double usualSends; // sends of late to a warm member of size 1
+    long dearUntil = UNKNOWN; // connections take too long to set up
     private long loggedAt = UNKNOWN;
 
     State(Actions actions) {
--- a/core/src/main/java/shelffront/fleet/ColdBudget.java
+++ b/core/src/main/java/shelffront/fleet/ColdBudget.java
@@ -24,7 +24,7 @@
     /** Seconds over which usual traffic is counted. */
     public static final double WINDOW = 20;
 
-    private final Demand owed;            // needs the primary
+    private final Demand owed; // needs the primary
     private final Demand reads;
 
     /** The fall time is that of the platform's rule, in seconds: a jump of demand within it counts at once. */
@@ -38,7 +38,9 @@
         (needsPrimary ? owed : reads).add(now);
     }
 
-    /** The share of its capacity that a host has at least, 0 to 1, by its age and the figures of the platform's rule. */
+    /**
+     * The share of its capacity that a host has at least, 0 to 1, by its age and the figures of the platform's rule.
+     */
     public static double warmth(long age, double coldFrom, long coldTime) {
         return age >= coldTime ? 1 : coldFrom + (1 - coldFrom) * Math.max(0, age) / coldTime;
     }
--- a/core/src/main/java/shelffront/fleet/Subsets.java
+++ b/core/src/main/java/shelffront/fleet/Subsets.java
@@ -17,9 +17,11 @@
  * Ravishankar, 1998), which keeps most choices as hosts come and go. Chance alone would leave some hosts with too many:
  * single choices, those that cost least rank, are moved until the counts of any two hosts differ by one at most. From
  * there a gateway that stops takes only its own choices away. Where too many of one host's have stopped, choices of
- * those that are up are moved likewise until every host is within a twentieth of the mean, or one gateway if that is more.
+ * those that are up are moved likewise until every host is within a twentieth of the mean, or one gateway if that is
+ * more.
  *
- * <p>So a restart moves next to nothing, and only a gateway that is new, or is known no longer, moves choices of others.
+ * <p>So a restart moves next to nothing, and only a gateway that is new, or is known no longer, moves choices of
+ * others.
  *
  * <p>A preference and no fence: freshness, roles and health are judged first, by others.
  */
@@ -32,7 +34,7 @@
     /** Of the mean: what a host's count may be off it while gateways are down. Less would move more choices. */
     static final double SLACK = 0.05;
 
-    private Subsets() { }
+    private Subsets() {}
 
     /** How many of so many hosts each gateway prefers: all of them in a small fleet. */
     public static int size(int gateways, int hosts) {
@@ -58,8 +60,8 @@
     }
 
     /**
-     * The hosts that each gateway prefers, by the gateway's place among the known ones; each list is in the order of the
-     * hosts' names, and empty for a gateway that is down.
+     * The hosts that each gateway prefers, by the gateway's place among the known ones; each list is in the order of
+     * the hosts' names, and empty for a gateway that is down.
      *
      * @param known the names of all gateways of the fleet, in any order that all share
      * @param up whether the gateway at this place is taken to be up
@@ -114,8 +116,10 @@
         }
     }
 
-    /** Moves single choices, those that cost least rank, until the hosts' counts are the mean, rounded up or down; where
-     *  there is a slack, a part of the mean, they may be off it by that, or by one. */
+    /**
+     * Moves single choices, those that cost least rank, until the hosts' counts are the mean, rounded up or down;
+     * where  there is a slack, a part of the mean, they may be off it by that, or by one.
+     */
     private static void level(double[][] ranks, boolean[][] taken, double slack) {
         int[] load = new int[ranks.length == 0 ? 0 : ranks[0].length];
         double sum = 0;
@@ -129,7 +133,8 @@
         double off = slack == 0 ? 0 : Math.max(1, mean * slack);
         int most = (int) (slack == 0 ? Math.ceil(mean) : Math.floor(mean + off));
         int least = (int) (slack == 0 ? Math.floor(mean) : Math.ceil(mean - off));
-        while (move(ranks, taken, load, most) || move(ranks, taken, load, least)) { }
+        while (move(ranks, taken, load, most) || move(ranks, taken, load, least)) {
+        }
     }
 
     /** Moves the one choice that costs least rank from a host above the bound to one below it; false where none can. */
--- a/core/src/main/java/shelffront/route/Router.java
+++ b/core/src/main/java/shelffront/route/Router.java
@@ -39,7 +39,9 @@
     enum Availability { LIVE, DRAINING, GONE }
 
     /** Kind of news about the list; {@code REMEMBERED} is the last list before a restart, maybe outdated. */
-    enum ListKind { CHANGES, ALL, REMEMBERED, FAILED }
+    enum ListKind {
+        CHANGES, ALL, REMEMBERED, FAILED
+    }
 
     /** How an attempt or a probe ended. */
     enum Status {
@@ -83,7 +85,7 @@
 
     /** The figures of the rules. */
     record Rules(long drainGrace, double coldFrom, long coldTime, double fallMultiple, long fallTime,
-            boolean softRemoval, long askWithin, long answerSlack) { }
+            boolean softRemoval, long askWithin, long answerSlack) {}
 
     /** What the site permits; a connection that takes longer than its limit to set up fails. */
     record Limits(int attempts, long maxRetryAfter, boolean retryAfter, boolean cancel, boolean duplicate,
@@ -98,7 +100,7 @@
     /** Everything an instance is told at its start. {@code tick} is the shortest time between two events. */
     record Settings(int self, int routers, String zone, long tick, List<ClassSettings> classes, LagCheck check,
             long hold, boolean answersStamped, boolean tokensCarried, ListRole listRole, boolean listAsked,
-            ReportSource reports, Rules rules, Limits limits, double crossZonePrice, double probePrice) { }
+            ReportSource reports, Rules rules, Limits limits, double crossZonePrice, double probePrice) {}
 
     /** A line of the list. {@code startedAt} is 0 when the member has been up for long. */
     record Member(String id, String kind, String zone, int group, double size, long startedAt, boolean primary,
@@ -110,18 +112,18 @@
     }
 
     /** A member's report about itself; negative figures and {@link #UNKNOWN} were not given. */
-    record Load(long position, Role role, double outstanding, double queued, double utilization) { }
+    record Load(long position, Role role, double outstanding, double queued, double utilization) {}
 
     /**
      * A request. {@code left} is the time until the client gives up, {@code after} the carried position of the
      * session's last write ({@link #UNKNOWN}: none).
      */
     record Request(String id, int classIndex, String session, int group, long left, long after,
-            boolean repeat) { }
+            boolean repeat) {}
 
     /** How an attempt ended; {@code finished} when the client has had its answer. */
     record Outcome(String requestId, int attempt, String member, Status status, boolean finished, long took,
-            Role role, long position, Load load) { }
+            Role role, long position, Load load) {}
 
     void onStart(long now, long seed, Settings settings);
 
@@ -132,9 +134,9 @@
     void onOutcome(long now, Outcome outcome);
 
     /**
-     * Whether an attempt may be written now that a connection is there for it: while it waited its client may have gone,
-     * its member may have begun to drain, lost its role or become too old, the window for repeats may have ended. Where
-     * not, it ends as NOT_SENT, and its request, if it is open, is looked at again.
+     * Whether an attempt may be written now that a connection is there for it: while it waited its client may have
+     * gone, its member may have begun to drain, lost its role or become too old, the window for repeats may have
+     * ended. Where not, it ends as NOT_SENT, and its request, if it is open, is looked at again.
      */
     boolean mayStart(long now, String requestId, int attempt);
 
--- a/core/src/main/java/shelffront/share/Holdings.java
+++ b/core/src/main/java/shelffront/share/Holdings.java
@@ -18,7 +18,7 @@
 
     /** Part of all that holders may fill beyond their own parts. */
     private static final double LENT = 0.75;
-    private static final double UNIT = 1000;      // weights are summed in thousandths, to the same sum in any order
+    private static final double UNIT = 1000; // weights are summed in thousandths, to the same sum in any order
 
     /** What came of asking for one. */
     public enum Verdict {
@@ -94,7 +94,7 @@
         private boolean owed() {
             boolean already = waits;
             waits = true;
-            count();                          // its weight makes the others' parts smaller
+            count(); // its weight makes the others' parts smaller
             Holding furthest = null;
             for (Holding h : holders) {
                 furthest = h.beyond() > (furthest == null ? 0 : furthest.beyond()) ? h : furthest;
@@ -145,7 +145,7 @@
 
     private final int total;
     private final AtomicInteger held = new AtomicInteger();
-    private final AtomicLong weights = new AtomicLong();     // of those that hold any
+    private final AtomicLong weights = new AtomicLong(); // of those that hold any
     private final Set<Holding> holders = ConcurrentHashMap.newKeySet();
     private final ConcurrentLinkedQueue<Holding> waiting = new ConcurrentLinkedQueue<>();
 
--- a/core/src/main/java/shelffront/share/Rounds.java
+++ b/core/src/main/java/shelffront/share/Rounds.java
@@ -33,7 +33,7 @@
     private final long quantum;
     private final ArrayDeque<Flow<T>> ring = new ArrayDeque<>();
     private Flow<T> current;
-    private int waiting;                  // items of all flows
+    private int waiting; // items of all flows
 
     /** The quantum is the cost that a flow of weight 1 may run up in a round. */
     public Rounds(long quantum) {
@@ -45,7 +45,7 @@
         waiting++;
         if (!flow.inRing) {
             flow.inRing = true;
-            flow.credit = Math.min(flow.credit, 0) + quantum * flow.weight;   // no saving up while idle
+            flow.credit = Math.min(flow.credit, 0) + quantum * flow.weight; // no saving up while idle
             ring.add(flow);
         }
     }
--- a/core/src/main/java/shelffront/share/Shares.java
+++ b/core/src/main/java/shelffront/share/Shares.java
@@ -35,7 +35,7 @@
     private static final int STALE = 3;
 
     /** What one loop's tenants asked for when it last divided. */
-    private record Told(long at, double[] weights, double[] demands) { }
+    private record Told(long at, double[] weights, double[] demands) {}
 
     /** What several loops share. The only part that more than one thread touches; nothing in it waits. */
     public static final class Common {
@@ -72,9 +72,9 @@
         private double weight;
         private Share[] parts;
         private final RateLimit limit = new RateLimit(0, 1, 0);
-        private double asked;             // since the window began
-        private double demand;            // a second
-        private int idle;                 // windows without a request
+        private double asked; // since the window began
+        private double demand; // a second
+        private int idle; // windows without a request
         private boolean listed;
         private int open;
 
@@ -109,10 +109,10 @@
     private final double rate;
     private final int places;
     private final List<Share> asking = new ArrayList<>();
-    private double weights;               // of those who ask here
-    private double elsewhere;             // of those who ask of other loops
+    private double weights; // of those who ask here
+    private double elsewhere; // of those who ask of other loops
     private long windowFrom;
-    private boolean dirty;                // a weight has changed: the rate is divided at the next request
+    private boolean dirty; // a weight has changed: the rate is divided at the next request
 
     /** Of the only loop: so many requests a second, 0 for no such bound, and so many open at a time for all. */
     public Shares(double rate, int places, long now) {
--- a/core/src/main/java/shelffront/share/WaterFill.java
+++ b/core/src/main/java/shelffront/share/WaterFill.java
@@ -6,7 +6,7 @@
  */
 public final class WaterFill {
 
-    private WaterFill() { }
+    private WaterFill() {}
 
     /**
      * Divides a capacity. All figures are in one unit, none negative, weights above 0; the arrays are of one length.
@@ -32,7 +32,7 @@
                     open--;
                 }
             }
-            if (open == before) {                // all that are left want more than their part
+            if (open == before) { // all that are left want more than their part
                 for (int i = 0; i < weights.length; i++) {
                     parts[i] = filled[i] ? parts[i] : level * weights[i];
                 }
--- a/core/src/main/java/shelffront/stage/Holder.java
+++ b/core/src/main/java/shelffront/stage/Holder.java
@@ -11,20 +11,20 @@
 public final class Holder {
 
     /** What it wants done at the engine. */
-    public sealed interface Wish { }
+    public sealed interface Wish {}
 
     /** Put this at its key where the key has that index; index 0: where there is none. */
-    public record Write(long index, Member member) implements Wish { }
+    public record Write(long index, Member member) implements Wish {}
 
     /** Read its own key: what became of a write is not known. */
-    public record Look() implements Wish { }
+    public record Look() implements Wish {}
 
     private final Bounds bounds;
     private final Set<Rule> off;
     private final int term;
-    private final long index;             // of its key; 0 before it has joined
+    private final long index; // of its key; 0 before it has joined
     private final long acknowledged;
-    private final boolean unsure;         // of its key
+    private final boolean unsure; // of its key
     private final Standing held;
     private final long leaseUntil;
     private final long renewAt;
--- a/core/src/main/java/shelffront/stage/Owner.java
+++ b/core/src/main/java/shelffront/stage/Owner.java
@@ -14,22 +14,22 @@
 public final class Owner {
 
     /** A member as it was read. */
-    public record Seen(Member member, long index) { }
+    public record Seen(Member member, long index) {}
 
     /** What it wants done at the engine, in this order; each only where the key still has the index. */
-    public sealed interface Wish { }
+    public sealed interface Wish {}
 
     /** Move the subject on. */
-    public record Move(long index, Standing to) implements Wish { }
+    public record Move(long index, Standing to) implements Wish {}
 
     /** Put an end to a membership that holds up a move. */
-    public record Revoke(String key, long index, Member revoked) implements Wish { }
+    public record Revoke(String key, long index, Member revoked) implements Wish {}
 
     /** Take away the mark of one whose lease has lapsed for sure. */
-    public record Forget(String key, long index) implements Wish { }
+    public record Forget(String key, long index) implements Wish {}
 
     /** Since when a member's key has had the same index, by the owner's clock. */
-    private record Since(long index, long at) { }
+    private record Since(long index, long at) {}
 
     /** Where no move waits, members that are gone are only taken away in the end. */
     private static final int IDLE_PATIENCE = 10;
--- a/core/src/main/java/shelffront/stage/package-info.java
+++ b/core/src/main/java/shelffront/stage/package-info.java
@@ -13,9 +13,9 @@
  * check-and-set on the standing it looked at before it looked at the members, and only where each of them has
  * acknowledged that standing or was revoked for longer than any lease can last. A gateway joins before it reads the
  * standing that it takes up, so the owner's next look finds it. Hence whoever is in force has the standing of the
- * engine or the one before it, and neighbours differ by one stage. Revoking is a check-and-set too: a renewal that comes
- * after it fails. The mark stays until it has been seen for long enough, so that an owner that takes over in the middle
- * waits as long as the one before it.
+ * engine or the one before it, and neighbours differ by one stage. Revoking is a check-and-set too: a renewal that
+ * comes after it fails. The mark stays until it has been seen for long enough, so that an owner that takes over in
+ * the middle waits as long as the one before it.
  *
  * <p>Published ground: leases (Gray and Cheriton, SOSP 1989), two adjacent schema versions under leases (Rae et al.,
  * <i>Online, Asynchronous Schema Change in F1</i>, VLDB 2013), fencing tokens (Kleppmann, 2016).
--- a/core/src/main/java/shelffront/time/Timers.java
+++ b/core/src/main/java/shelffront/time/Timers.java
@@ -11,11 +11,11 @@
  */
 public final class Timers {
 
-    private record Timer(long at, long order, BooleanSupplier wanted, Runnable task) { }
+    private record Timer(long at, long order, BooleanSupplier wanted, Runnable task) {}
 
     private final LongConsumer alarm;
-    private final PriorityQueue<Timer> timers =
-            new PriorityQueue<>(Comparator.comparingLong(Timer::at).thenComparingLong(Timer::order));
+    private final PriorityQueue<Timer> timers = new PriorityQueue<>(
+            Comparator.comparingLong(Timer::at).thenComparingLong(Timer::order));
     private long nextOrder;
     private long alarmAt = Long.MAX_VALUE;
 
--- a/core/src/test/java/shelffront/decide/FailureTest.java
+++ b/core/src/test/java/shelffront/decide/FailureTest.java
@@ -103,7 +103,10 @@
         assertTrue(bed.news().contains("send y m1"), "proved");
     }
 
-    /** The connection of one was lost; those sent after it were answered at once, so the member is neither slow nor silent. */
+    /**
+     * The connection of one was lost; those sent after it were answered at once, so the member is neither slow nor
+     * silent.
+     */
     @Test
     void whatOthersOvertookSaysNothingOfItsMember() {
         bed.start();
--- a/core/src/test/java/shelffront/decide/Recorder.java
+++ b/core/src/test/java/shelffront/decide/Recorder.java
@@ -7,7 +7,7 @@
 /** Records what the module asks for, one plain line an action, and the timers it set. */
 final class Recorder implements Router.Actions {
 
-    record Timer(String name, long at) { }
+    record Timer(String name, long at) {}
 
     final List<String> lines = new ArrayList<>();
     final List<Timer> timers = new ArrayList<>();
--- a/core/src/test/java/shelffront/fleet/ColdBudgetTest.java
+++ b/core/src/test/java/shelffront/fleet/ColdBudgetTest.java
@@ -20,7 +20,7 @@
 
     private static final long SECOND = 1_000_000;
 
-    private record Asked(ColdBudget budget, long now) { }
+    private record Asked(ColdBudget budget, long now) {}
 
     /** Traffic of a gateway for 60 s: this many requests a second on the mean, a part of which needs the primary. */
     private static Asked traffic(SplittableRandom random, double rate, double owedShare) {
@@ -51,7 +51,7 @@
     @Test
     void aPrimaryGivesReadsOnlyWhatItsWritesLeave() {
         Asked a = traffic(new SplittableRandom(2), 10, 0.5);
-        double budget = a.budget.budget(a.now, 0.25, 4, 200, false);      // the count of writes, 100 in the window
+        double budget = a.budget.budget(a.now, 0.25, 4, 200, false); // the count of writes, 100 in the window
         int reads = 0;
         for (int i = 0; i < 1_000; i++) {
             reads += a.budget.admits(a.now, "r" + i, false, true, true, 0, budget) ? 1 : 0;
@@ -117,7 +117,7 @@
             @ForAll @DoubleRange(min = 0.05, max = 20) double rate,
             @ForAll @DoubleRange(min = 0.2, max = 1) double warmth) {
         SplittableRandom random = new SplittableRandom(gateways * 31L + (long) (rate * 1000));
-        double each = rate * ColdBudget.WINDOW / 4;           // what a warm host of four gets from each gateway
+        double each = rate * ColdBudget.WINDOW / 4; // what a warm host of four gets from each gateway
         double sent = 0;
         double mayHave = 0;
         int rounds = Math.max(1, 400 / gateways);
@@ -185,7 +185,7 @@
 
         private void sends(int gateway, double perSecond, SplittableRandom random, List<Double> sends) {
             ColdBudget budget = new ColdBudget(FALL_SECONDS);
-            Recent warm = new Recent(ColdBudget.WINDOW);        // sends to a warm host of the set
+            Recent warm = new Recent(ColdBudget.WINDOW); // sends to a warm host of the set
             double at = 0;
             double gap;
             while ((at += gap = -Math.log(1 - random.nextDouble()) / perSecond) < 220) {
--- a/core/src/test/java/shelffront/fleet/SubsetsTest.java
+++ b/core/src/test/java/shelffront/fleet/SubsetsTest.java
@@ -61,7 +61,8 @@
     /** A thousand, as the greatest fleet, and the least. */
     @Test
     void aFleetOfOneTwoAndAThousand() {
-        assertEquals(List.of("s-0", "s-1", "s-2"), Subsets.of(List.of("n0"), g -> true, names("s-", 0, 3), Subsets.size(1, 3)).get(0));
+        assertEquals(List.of("s-0", "s-1", "s-2"),
+                Subsets.of(List.of("n0"), g -> true, names("s-", 0, 3), Subsets.size(1, 3)).get(0));
         assertEquals(3, Subsets.of(names("n", 0, 2), g -> true, names("s-", 0, 3), Subsets.size(2, 3)).get(1).size());
         assertEquals(List.of(List.of()), Subsets.of(List.of("n0"), g -> true, List.of(), Subsets.size(1, 0)));
         assertEquals(List.of(), Subsets.of(List.of(), g -> true, names("s-", 0, 3), 2));
--- a/core/src/test/java/shelffront/share/HoldingsTest.java
+++ b/core/src/test/java/shelffront/share/HoldingsTest.java
@@ -101,7 +101,7 @@
         List<Holding> all = new ArrayList<>();
         for (int t = 0; t < 4; t++) {
             int seed = t;
-            Holding mine = holdings.join(1 + t, 30, () -> { }, () -> { });
+            Holding mine = holdings.join(1 + t, 30, () -> {}, () -> {});
             all.add(mine);
             new Thread(() -> {
                 Random random = new Random(seed);
--- a/core/src/test/java/shelffront/stage/StageModel.java
+++ b/core/src/test/java/shelffront/stage/StageModel.java
@@ -30,7 +30,7 @@
     private static final int FAST = 5;
 
     /** A request on its way, of a process that waits for it no longer. */
-    private record Loose(String what, UnaryOperator<Engine> effect) { }
+    private record Loose(String what, UnaryOperator<Engine> effect) {}
 
     /** What the engine keeps. */
     private record Engine(Standing standing, long index, Map<String, Owner.Seen> members, long next) {
@@ -105,10 +105,10 @@
     }
 
     private record State(Engine engine, List<Gateway> gateways, List<Mover> movers, List<Loose> loose, int faults,
-            int turns, int ticks, State before, String step) { }
+            int turns, int ticks, State before, String step) {}
 
     /** How an exploration ended: the states that were told apart, and a counter-example or null. */
-    record Result(long states, int depth, List<String> trace) { }
+    record Result(long states, int depth, List<String> trace) {}
 
     /** A lease that a slow clock ends in the third step, and a lapse that a fast one reaches there and not before. */
     private final Bounds bounds = new Bounds(7, 0, 0.25, 0);
@@ -243,7 +243,8 @@
     private State set(State s, Engine engine, int i, Gateway g, List<Loose> loose, int left, String step) {
         List<Gateway> gateways = new ArrayList<>(s.gateways());
         gateways.set(i, g);
-        return new State(engine, gateways, s.movers(), loose, left, s.turns(), s.ticks(), s, "gateway " + i + " " + step);
+        return new State(engine, gateways, s.movers(), loose, left, s.turns(), s.ticks(), s,
+                "gateway " + i + " " + step);
     }
 
     private static List<Loose> plus(List<Loose> loose, Loose one) {
@@ -294,7 +295,7 @@
                         "reads the standing, the answer is late"));
             }
         }
-        if (g.late() != null) {       // it stays: it may come once more
+        if (g.late() != null) { // it stays: it may come once more
             to.accept(set(s, e, i, new Gateway(g.life(), h.heard(g.lateTerm(), g.late()), now, g.open(),
                     g.openUntil(), g.out(), g.sentAt(), g.taken(), g.answered(), g.late(), g.lateTerm()),
                     "hears a late answer " + g.late()));
--- a/gateway/src/main/java/shelffront/Main.java
+++ b/gateway/src/main/java/shelffront/Main.java
@@ -34,7 +34,7 @@
     private static final long STOP_SECONDS = 30;
     private static final long LOG_MILLISECONDS = 2000;
 
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) {
         // The platform's commands load nothing of the command line's library.
--- a/gateway/src/main/java/shelffront/admin/AdminServer.java
+++ b/gateway/src/main/java/shelffront/admin/AdminServer.java
@@ -59,7 +59,7 @@
     }
 
     /** An answer that a POST with an Idempotency-Key had, and what it was asked. */
-    private record Kept(String asked, Answer answer) { }
+    private record Kept(String asked, Answer answer) {}
 
     private final HttpServer server;
     private final ThreadPoolExecutor threads;
@@ -69,7 +69,7 @@
     private final Stages stages;
     private final Log log;
     private final Semaphore polls = new Semaphore(MOST_POLLS);
-    private final Map<String, Integer> pollsOf = new ConcurrentHashMap<>();   // those that wait, by token
+    private final Map<String, Integer> pollsOf = new ConcurrentHashMap<>(); // those that wait, by token
     private final Map<String, Kept> kept = new LinkedHashMap<>();
 
     /** The stages are null where the gateway is on its own. */
@@ -77,7 +77,7 @@
             throws IOException {
         System.setProperty("sun.net.httpserver.maxReqTime", MOST_SECONDS);
         System.setProperty("sun.net.httpserver.maxRspTime", "90");
-        System.setProperty("sun.net.httpserver.nodelay", "true");   // else each answer waits 40 ms for an ACK
+        System.setProperty("sun.net.httpserver.nodelay", "true"); // else each answer waits 40 ms for an ACK
         this.store = store;
         this.tenancy = tenancy;
         this.tokens = tokens;
@@ -161,7 +161,7 @@
             throw new Problem(400, "Bad request", "Idempotency-Key is 1 to 200 printable characters");
         }
         String asked = path + " " + Arrays.toString(Keys.hash(body));
-        synchronized (kept) {                 // one at a time: the second of two with one key finds the first's answer
+        synchronized (kept) { // one at a time: the second of two with one key finds the first's answer
             Kept before = kept.get(caller.token() + " " + key);
             if (before == null) {
                 Answer answer = call(exchange, caller, method, parts, body);
@@ -225,7 +225,7 @@
         } catch (StageException e) {
             int status = e instanceof StageException.EngineException ? 503
                     : e instanceof StageException.Contended ? 409
-                    : e instanceof StageException.UnknownSubject ? 404 : 422;
+                            : e instanceof StageException.UnknownSubject ? 404 : 422;
             throw new Problem(status, e.code(), e.getMessage() + ". " + e.advice());
         } catch (SpecException e) {
             throw Problem.invalid(e);
@@ -462,8 +462,9 @@
         boolean mayWait = pollsOf.merge(caller.token(), 1, Integer::sum) <= MOST_POLLS_OF_ONE;
         if (!mayWait || !polls.tryAcquire()) {
             pollEnds(caller);
-            throw new Problem(429, "Too many polls", "at most " + MOST_POLLS_OF_ONE + " of one token may wait at a time,"
-                    + " and " + MOST_POLLS + " of all");
+            throw new Problem(429, "Too many polls",
+                    "at most " + MOST_POLLS_OF_ONE + " of one token may wait at a time,"
+                            + " and " + MOST_POLLS + " of all");
         }
         try {
             ObjectNode answer = SpecJson.JSON.createObjectNode();
--- a/gateway/src/main/java/shelffront/admin/Tenancy.java
+++ b/gateway/src/main/java/shelffront/admin/Tenancy.java
@@ -40,13 +40,13 @@
         CompletableFuture<Tenant.Usage> usage(String id);
     }
 
-    private static final int REMEMBERED = 10_000;   // Changes whose time in force is known.
+    private static final int REMEMBERED = 10_000; // Changes whose time in force is known.
 
     private final Store store;
     private final Control control;
     private final LongSupplier clock;
     private final Map<Long, Long> inForce = new LinkedHashMap<>();
-    private volatile long startedAt;          // the revision that the gateway began with
+    private volatile long startedAt; // the revision that the gateway began with
     private volatile long startTime;
 
     /** The clock gives Unix milliseconds. */
@@ -61,7 +61,7 @@
         startedAt = store.revision();
         startTime = clock.getAsLong();
         for (Entry entry : store.all(Kind.TENANT)) {
-            control.apply(SpecJson.read(entry.document()), at -> { });
+            control.apply(SpecJson.read(entry.document()), at -> {});
         }
     }
 
@@ -80,7 +80,7 @@
         if (!spec.id().equals(id)) {
             throw new SpecException("/id", "is not the name in the path");
         }
-        synchronized (this) {                 // the gateway is told in the order of revisions
+        synchronized (this) { // the gateway is told in the order of revisions
             long revision = store.put(Kind.TENANT, id, expected, document, who, what, clock.getAsLong());
             control.apply(spec, at -> nowInForce(revision, at));
             return revision;
@@ -115,7 +115,7 @@
     }
 
     /** A key that has been made: the answer is the only place it is in. */
-    public record NewKey(String id, String key, long revision) { }
+    public record NewKey(String id, String key, long revision) {}
 
     /** Makes a key for a user of a tenant; those that the user has stay. Null where there is no such tenant. */
     public NewKey newKey(String tenant, String user, String who) throws SpecException, ConflictException {
--- a/gateway/src/main/java/shelffront/admin/Tokens.java
+++ b/gateway/src/main/java/shelffront/admin/Tokens.java
@@ -100,7 +100,7 @@
                 .getBytes(UTF_8);
         boolean matches = false;
         if (entry == null) {
-            Keys.matches(NOBODY, secret);        // a name that nobody has takes as long
+            Keys.matches(NOBODY, secret); // a name that nobody has takes as long
         } else {
             for (JsonNode h : entry.document().path("hashes")) {
                 matches |= Keys.matches(HexFormat.of().parseHex(h.path("sha256").asText()), secret)
--- a/gateway/src/main/java/shelffront/benchlink/Wire.java
+++ b/gateway/src/main/java/shelffront/benchlink/Wire.java
@@ -35,13 +35,13 @@
     private static final Map<String, Status> STATUSES = Map.of("ok", Status.OK, "error", Status.ERROR,
             "full", Status.FULL, "timeout", Status.TIMEOUT, "connect_failed", Status.CONNECT_FAILED,
             "reset", Status.RESET, "cancelled", Status.CANCELLED, "moot", Status.NOT_SENT, "miss", Status.MISS);
-    private static final Map<String, Availability> AVAILABILITIES =
-            Map.of("live", Availability.LIVE, "quiescing", Availability.DRAINING, "dead", Availability.GONE);
+    private static final Map<String, Availability> AVAILABILITIES = Map.of("live", Availability.LIVE, "quiescing",
+            Availability.DRAINING, "dead", Availability.GONE);
     private static final Map<String, ListKind> LIST_KINDS = Map.of("changes", ListKind.CHANGES,
             "all", ListKind.ALL, "remembered", ListKind.REMEMBERED, "refused", ListKind.FAILED);
 
     /** A hosted instance: the module, the clock time from which positions are counted, the places of its classes. */
-    private record Instance(Router router, long zero, Map<String, Integer> classes) { }
+    private record Instance(Router router, long zero, Map<String, Integer> classes) {}
 
     private final JsonParser in;
     private final JsonGenerator out;
--- a/gateway/src/main/java/shelffront/cli/Cli.java
+++ b/gateway/src/main/java/shelffront/cli/Cli.java
@@ -47,9 +47,9 @@
 @Command(name = "shelffront", mixinStandardHelpOptions = true, version = "shelffront 0.2.0",
         description = "A gateway that routes reads and writes of replicated databases.",
         subcommands = {Cli.Serve.class, Cli.Benchlink.class, Cli.Rehearse.class, Cli.Config.class,
-            Cli.TenantCommand.class,
-            Cli.TokenCommand.class, Cli.KeyCommand.class, Cli.StoreCommand.class,
-            GenerateCompletion.class})
+                Cli.TenantCommand.class,
+                Cli.TokenCommand.class, Cli.KeyCommand.class, Cli.StoreCommand.class,
+                GenerateCompletion.class})
 public final class Cli {
 
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -65,7 +65,7 @@
         }
     }
 
-    private Cli() { }
+    private Cli() {}
 
     /** Gives the exit code. */
     public static int run(String... arguments) {
@@ -155,10 +155,10 @@
     }
 
     @Command(name = "benchlink", description = "Hosts the decision module on the simulator's wire.")
-    static final class Benchlink extends WithoutOptions { }
+    static final class Benchlink extends WithoutOptions {}
 
     @Command(name = "rehearse", description = "Plays some requests through a gateway and ends; the build's last step.")
-    static final class Rehearse extends WithoutOptions { }
+    static final class Rehearse extends WithoutOptions {}
 
     /** Checks or shows settings. */
     @Command(name = "config", mixinStandardHelpOptions = true, description = "Checks or renders a file of settings.")
@@ -195,7 +195,7 @@
             return exchange(method, path, body, headers).body();
         }
 
-        record Answered(JsonNode body, String etag) { }
+        record Answered(JsonNode body, String etag) {}
 
         Answered exchange(String method, String path, String body, String... headers) throws Failure {
             if (token == null || token.isEmpty()) {
--- a/gateway/src/main/java/shelffront/cli/Templates.java
+++ b/gateway/src/main/java/shelffront/cli/Templates.java
@@ -17,7 +17,7 @@
 /** Evaluates a Jsonnet template, of which JSON is a part, by sjsonnet. */
 public final class Templates {
 
-    private Templates() { }
+    private Templates() {}
 
     /** What the file gives; imports are looked for beside it. The error of one that gives nothing names the line. */
     public static JsonNode evaluate(Path file) throws IOException, SpecException {
--- a/gateway/src/main/java/shelffront/client/ClientConnection.java
+++ b/gateway/src/main/java/shelffront/client/ClientConnection.java
@@ -23,10 +23,10 @@
 final class ClientConnection extends Connection implements Exchange.Asker, Clients.Client {
 
     private static final int GREATEST_PASSWORD = 1024;
-    private static final int MOST_WAITING = 8;   // Commands read ahead of the one in work.
+    private static final int MOST_WAITING = 8; // Commands read ahead of the one in work.
     private static final String NO_MEMORY = "53200";
     private static final String TYPES = "QXSPBDECHFdcf";
-    private static final int GREATEST_WAITING = 64 * 1024;   // Bytes of those after which no more is read.
+    private static final int GREATEST_WAITING = 64 * 1024; // Bytes of those after which no more is read.
     /** From its start to its first whole command: a client that sends none is owed its end within 3 s. */
     private static final long FIRST_COMMAND_TIME = 2_500_000;
     private static final long HALF_COMMAND_TIME = 2_000_000;
@@ -42,27 +42,27 @@
      * A command and when its last byte came: its time counts from there, however long it waits. Input that can't be
      * read stands in the queue too, so that what came before it is answered first.
      */
-    private record Command(Message message, long arrival, ProtocolException failure, CloseReason reason) { }
+    private record Command(Message message, long arrival, ProtocolException failure, CloseReason reason) {}
 
     private Clients clients;
-    private Clients home;             // where its tenant lives, once it has named one
-    private final Clients cameIn;           // whose place it holds; others than clients where it has moved
+    private Clients home; // where its tenant lives, once it has named one
+    private final Clients cameIn; // whose place it holds; others than clients where it has moved
     private final ArrayDeque<Command> waiting = new ArrayDeque<>();
     private final long openedAt;
     private Map<String, String> startup = Map.of();
-    private boolean asksPassword;     // the next message is one
-    private Clients.Taker taker;      // who serves it, once that is known
+    private boolean asksPassword; // the next message is one
+    private Clients.Taker taker; // who serves it, once that is known
     private boolean started;
-    private boolean named;            // the startup message has come, and it is where its tenant lives
-    private boolean asked;            // a whole command has come
-    private boolean half;             // part of a command has come
+    private boolean named; // the startup message has come, and it is where its tenant lives
+    private boolean asked; // a whole command has come
+    private boolean half; // part of a command has come
     private boolean skipToSync;
-    private String unreadable;        // why input from here on makes no sense
+    private String unreadable; // why input from here on makes no sense
     private Exchange current;
-    private long heardAt;             // when bytes last came, or it was opened
+    private long heardAt; // when bytes last came, or it was opened
     private int waitingBytes;
-    private int held;                 // bytes of commands and answer in hand that the memory budget counts
-    private Deadline limit;           // on the time to the next whole command; idle while a request is in work
+    private int held; // bytes of commands and answer in hand that the memory budget counts
+    private Deadline limit; // on the time to the next whole command; idle while a request is in work
 
     ClientConnection(Clients clients, AsynchronousSocketChannel channel) {
         super(clients.network, "client", channel, Message.GREATEST);
@@ -209,7 +209,7 @@
         switch (message.code()) {
             case Message.SSL_REQUEST, Message.GSS_REQUEST -> write(new byte[] {'N'});
             case Message.CANCEL_REQUEST -> {
-                close(CloseReason.TERMINATED);   // no key was given out, so there is nothing to cancel
+                close(CloseReason.TERMINATED); // no key was given out, so there is nothing to cancel
                 return false;
             }
             default -> {
@@ -327,7 +327,7 @@
                 write(Message.error(false, "0A000", "only simple queries are served", null));
             }
             case 'F' -> throw new ProtocolException("0A000", "function calls are not served");
-            default -> { }   // copy data outside a copy is dropped, as a server does
+            default -> {} // copy data outside a copy is dropped, as a server does
         }
     }
 
@@ -383,7 +383,7 @@
     @Override
     public void served(byte[] messages) {
         if (!hold(messages.length)) {
-            failed();                // there is no room to keep the value until the client takes it
+            failed(); // there is no room to keep the value until the client takes it
             return;
         }
         network.counters().add(Counters.Name.ANSWERS_SERVED);
--- a/gateway/src/main/java/shelffront/client/Clients.java
+++ b/gateway/src/main/java/shelffront/client/Clients.java
@@ -30,7 +30,7 @@
         }
 
         /** A connection that {@link #home} sent elsewhere has ended there. */
-        default void ended(Map<String, String> startup, Clients there) { }
+        default void ended(Map<String, String> startup, Clients there) {}
 
         /** By the parameters of its startup message; throws where nobody does, with what the client is told. */
         Taker admit(Map<String, String> startup) throws ProtocolException;
@@ -85,17 +85,17 @@
     final Door door;
     private final int mostConnections;
     private final int mostLingering;
-    private final AsynchronousServerSocketChannel listener;    // null where they come from another loop's
+    private final AsynchronousServerSocketChannel listener; // null where they come from another loop's
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     /** Told that nothing more is sent on them; each ends with its client's end, or after a moment. */
     private final Set<ClientConnection> lingering = new LinkedHashSet<>();
     /** Those that came in here and live on another loop now, by whose they are there. */
     private final Map<Clients, Integer> away = new LinkedHashMap<>();
-    private boolean accepting;        // an accept is out
-    private boolean lookingAgain;     // a look at who may go is due
-    private boolean turnsAway;        // there was no place for a while: who comes is told so
+    private boolean accepting; // an accept is out
+    private boolean lookingAgain; // a look at who may go is due
+    private boolean turnsAway; // there was no place for a while: who comes is told so
     private boolean draining;
-    private Runnable whenStopped;     // to be told that no accept is out any more
+    private Runnable whenStopped; // to be told that no accept is out any more
 
     public Clients(Network network, InetSocketAddress listen, int mostConnections, Door door) throws IOException {
         this.network = network;
@@ -180,7 +180,7 @@
         }
         for (var each = connections.iterator(); victim == null && each.hasNext();) {
             ClientConnection c = each.next();
-            victim = c.mayMakeRoom() ? c : null;      // so many came together that none could be silent for long
+            victim = c.mayMakeRoom() ? c : null; // so many came together that none could be silent for long
         }
         return victim != null && victim.retire(CloseReason.EVICTED);
     }
@@ -225,7 +225,7 @@
                 connection.retire(CloseReason.DRAINED);
             }
         }
-        makeRoom();                 // one that fell idle gives its place to one that waits in the backlog
+        makeRoom(); // one that fell idle gives its place to one that waits in the backlog
     }
 
     /** Nothing more is sent on the connection. It has no place any more, but a descriptor, of which there are few. */
@@ -257,7 +257,7 @@
         boolean room = connections.size() + awayCount() < mostConnections || evict();
         turnsAway &= !room;
         if (accepting) {
-            return;                       // what was evicted has made room by itself
+            return; // what was evicted has made room by itself
         }
         if (room || turnsAway) {
             accept();
--- a/gateway/src/main/java/shelffront/config/Json.java
+++ b/gateway/src/main/java/shelffront/config/Json.java
@@ -13,7 +13,7 @@
 
     private Object value;
 
-    private Json() { }
+    private Json() {}
 
     /** The object that the text holds. */
     public static Map<?, ?> object(String text) throws MalformedInputException {
--- a/gateway/src/main/java/shelffront/config/SettingsReader.java
+++ b/gateway/src/main/java/shelffront/config/SettingsReader.java
@@ -17,18 +17,17 @@
 /** Translates the settings object of the wire; keys that are not known are ignored. */
 public final class SettingsReader {
 
-    private static final Map<String, Effect> EFFECTS =
-            Map.of("repeatable", Effect.REPEATABLE, "by_key", Effect.KEYED, "once", Effect.ONCE);
-    private static final Map<String, Scope> SCOPES =
-            Map.of("all", Scope.ALL, "zone", Scope.ZONE, "cell", Scope.GROUP);
+    private static final Map<String, Effect> EFFECTS = Map.of("repeatable", Effect.REPEATABLE, "by_key", Effect.KEYED,
+            "once", Effect.ONCE);
+    private static final Map<String, Scope> SCOPES = Map.of("all", Scope.ALL, "zone", Scope.ZONE, "cell", Scope.GROUP);
     private static final Map<String, Read> READS = Map.of("write", Read.WRITE, "fresh", Read.FRESH,
             "session", Read.SESSION, "bounded", Read.BOUNDED, "any", Read.ANY);
-    private static final Map<String, LagCheck> CHECKS =
-            Map.of("silent", LagCheck.NONE, "refuse", LagCheck.REFUSE, "wait", LagCheck.WAIT);
-    private static final Map<String, ListRole> LIST_ROLES =
-            Map.of("silent", ListRole.NONE, "start", ListRole.AT_START, "late", ListRole.LATE);
-    private static final Map<String, ReportSource> SOURCES =
-            Map.of("silent", ReportSource.NONE, "piggyback", ReportSource.ANSWERS, "pull", ReportSource.PROBES);
+    private static final Map<String, LagCheck> CHECKS = Map.of("silent", LagCheck.NONE, "refuse", LagCheck.REFUSE,
+            "wait", LagCheck.WAIT);
+    private static final Map<String, ListRole> LIST_ROLES = Map.of("silent", ListRole.NONE, "start", ListRole.AT_START,
+            "late", ListRole.LATE);
+    private static final Map<String, ReportSource> SOURCES = Map.of("silent", ReportSource.NONE, "piggyback",
+            ReportSource.ANSWERS, "pull", ReportSource.PROBES);
 
     private final String path;
     private final Map<?, ?> values;
--- a/gateway/src/main/java/shelffront/discovery/Discovery.java
+++ b/gateway/src/main/java/shelffront/discovery/Discovery.java
@@ -39,7 +39,7 @@
     private InetSocketAddress address;
     private long revision;
     private long newestAt;
-    private boolean watching;         // as asked; the watch itself may have failed
+    private boolean watching; // as asked; the watch itself may have failed
     private DiscoveryCall watch;
 
     /** The revision is that of the list that is known already; 0 asks for the whole list. */
--- a/gateway/src/main/java/shelffront/discovery/DiscoveryCall.java
+++ b/gateway/src/main/java/shelffront/discovery/DiscoveryCall.java
@@ -22,7 +22,7 @@
     private final boolean standing;
     private final ChunkedLines answer = new ChunkedLines(this::line);
     private final StringBuilder body = new StringBuilder();
-    private int depth;                // of braces, in what has come of a list
+    private int depth; // of braces, in what has come of a list
     private Deadline silence;
     private boolean listCame;
 
@@ -70,7 +70,7 @@
             return;
         }
         if (answer.hasHeaders() && answer.status() != 200) {
-            close(CloseReason.ANSWERED);      // a refusal: what it says beside that may never end
+            close(CloseReason.ANSWERED); // a refusal: what it says beside that may never end
             return;
         }
         if (answer.hasHeaders() && !before) {
--- a/gateway/src/main/java/shelffront/gateway/ConfigFileWatch.java
+++ b/gateway/src/main/java/shelffront/gateway/ConfigFileWatch.java
@@ -16,7 +16,7 @@
     private static final long INTERVAL_MILLIS = 1000;
 
     /** What tells one state of the file from another. */
-    private record Stamp(FileTime modified, long size, Object fileKey) { }
+    private record Stamp(FileTime modified, long size, Object fileKey) {}
 
     private final Path file;
     private Stamp last;
--- a/gateway/src/main/java/shelffront/gateway/Gateway.java
+++ b/gateway/src/main/java/shelffront/gateway/Gateway.java
@@ -32,8 +32,8 @@
     private final Clients clients;
     private final BooleanSupplier idle;
     private final Runnable closing;
-    private final Tenant single;          // null where there are many
-    private boolean refusing;             // takes no connections any more
+    private final Tenant single; // null where there are many
+    private boolean refusing; // takes no connections any more
 
     /** The single tenant of a platform's file, whatever user and database clients name. */
     public Gateway(Network network, GatewayConfig config) throws IOException {
@@ -104,7 +104,7 @@
 
     /** Starts the module with the list as this gateway last had it, then takes clients in. */
     public void start() {
-        loop.tick();                 // Loading took a while: time limits set here would else be over at once.
+        loop.tick(); // Loading took a while: time limits set here would else be over at once.
         if (single != null) {
             single.start();
         }
--- a/gateway/src/main/java/shelffront/gateway/ReloadSignal.java
+++ b/gateway/src/main/java/shelffront/gateway/ReloadSignal.java
@@ -14,7 +14,7 @@
  */
 public final class ReloadSignal {
 
-    private final ConfigFileWatch watch;      // null where the signal arrives
+    private final ConfigFileWatch watch; // null where the signal arrives
     private Runnable reload;
     private boolean ordered;
 
--- a/gateway/src/main/java/shelffront/hosted/Hosted.java
+++ b/gateway/src/main/java/shelffront/hosted/Hosted.java
@@ -40,7 +40,7 @@
     private final Tokens tokens;
     private final Tenancy tenancy;
     private final AdminServer admin;
-    private final Stages stages;          // null where this gateway is on its own
+    private final Stages stages; // null where this gateway is on its own
 
     public Hosted(HostedConfig config, Log log) throws IOException, SpecException {
         this(config, log, Ground.machine());
@@ -74,7 +74,8 @@
     private static Stages stages(StagesConfig fleet, Log log) throws IOException {
         Engine engine = new ConsulEngine(fleet.host(), fleet.port(),
                 Duration.of(fleet.bounds().lease() / 4, ChronoUnit.MICROS));
-        return new Stages(fleet, engine, UUID.randomUUID().toString().substring(0, 8), History.to(fleet.history()), log);
+        return new Stages(fleet, engine, UUID.randomUUID().toString().substring(0, 8), History.to(fleet.history()),
+                log);
     }
 
     /** Puts in the tenants of a file that the store has none of; those it has stand as administrators left them. */
@@ -157,7 +158,7 @@
     }
 
     /** What the whole of it holds: for tests that count what is left. */
-    public record Held(int deadlines, long bufferBytes, Counters counters) { }
+    public record Held(int deadlines, long bufferBytes, Counters counters) {}
 
     public CompletableFuture<Held> held() {
         return lanes.held();
--- a/gateway/src/main/java/shelffront/hosted/HostedConfig.java
+++ b/gateway/src/main/java/shelffront/hosted/HostedConfig.java
@@ -29,7 +29,8 @@
 public record HostedConfig(InetSocketAddress listen, InetSocketAddress admin, Path store, int cores, int sockets,
         long bufferBytes, double requestsPerSecond, int openRequests, List<JsonNode> tenants, StagesConfig fleet) {
 
-    private static final Set<String> NAMES = Set.of("listen", "admin", "store", "cores", "sockets", "bufferBytes", "capacity",
+    private static final Set<String> NAMES = Set.of("listen", "admin", "store", "cores", "sockets", "bufferBytes",
+            "capacity",
             "tenants", "fleet");
     private static final Set<String> CAPACITY_NAMES = Set.of("requestsPerSecond", "openRequests");
 
--- a/gateway/src/main/java/shelffront/hosted/Lanes.java
+++ b/gateway/src/main/java/shelffront/hosted/Lanes.java
@@ -36,14 +36,14 @@
  */
 final class Lanes implements Clients.Door {
 
-    private record Lane(Network network, Tenants tenants) { }
+    private record Lane(Network network, Tenants tenants) {}
 
     /** Where a tenant lives. */
     private static final class Home {
 
         private TenantSpec spec;
         private int lane;
-        private int clients;              // connections handed over and not ended there
+        private int clients; // connections handed over and not ended there
 
         private Home(TenantSpec spec, int lane) {
             this.spec = spec;
@@ -199,7 +199,7 @@
     public Clients home(Map<String, String> startup, Clients here) {
         Home home = homes.get(Tenants.name(startup));
         if (home == null || lanes.size() == 1) {
-            return here;                  // who names nobody is told so here
+            return here; // who names nobody is told so here
         }
         boolean alone = home.clients == 0 && (home.lane > 0 || lanes.get(0).tenants().isAlone(home.spec.id()));
         if (alone) {
--- a/gateway/src/main/java/shelffront/logging/Logs.java
+++ b/gateway/src/main/java/shelffront/logging/Logs.java
@@ -33,7 +33,7 @@
         }
     }
 
-    private Logs() { }
+    private Logs() {}
 
     /** Sends all that goes to SLF4J to the queue, as JSON lines or as text, and gives the gateway's own log. */
     public static Log open(boolean json, QueuedLog lines) {
--- a/gateway/src/main/java/shelffront/net/ArrivalTimes.java
+++ b/gateway/src/main/java/shelffront/net/ArrivalTimes.java
@@ -14,7 +14,7 @@
     static final int GREATEST_READS = 64;
 
     /** One read: the offset behind its last byte, and when it was made. */
-    private record Read(long endOffset, long time) { }
+    private record Read(long endOffset, long time) {}
 
     private final ArrayDeque<Read> reads = new ArrayDeque<>(2);
     private long endOffset;
--- a/gateway/src/main/java/shelffront/net/Budget.java
+++ b/gateway/src/main/java/shelffront/net/Budget.java
@@ -4,8 +4,8 @@
 
 /**
  * Something counted that those who share it may hold only so much of: bytes of buffers, sockets. What is taken must be
- * given back. A budget may be a part of a greater one, and then counts in both. Any thread may call: several event loops
- * share the greatest.
+ * given back. A budget may be a part of a greater one, and then counts in both. Any thread may call: several event
+ * loops share the greatest.
  */
 public final class Budget {
 
--- a/gateway/src/main/java/shelffront/net/Connection.java
+++ b/gateway/src/main/java/shelffront/net/Connection.java
@@ -18,8 +18,8 @@
     private static final int FIRST_BUFFER = 4096;
     private static final long LINGER = 500_000;
     private static final int GREATEST_DROPPED = 1 << 20;
-    private static final long STALL = 10_000_000;  // A peer that takes nothing for so long is given up.
-    private static final int GREATEST_AHEAD = 192 * 1024;   // Read only to see the peer's end behind it.
+    private static final long STALL = 10_000_000; // A peer that takes nothing for so long is given up.
+    private static final int GREATEST_AHEAD = 192 * 1024; // Read only to see the peer's end behind it.
 
     protected Network network;
     private final String kind;
@@ -28,23 +28,23 @@
     private final ArrayDeque<byte[]> output = new ArrayDeque<>();
     private ByteBuffer input = ByteBuffer.allocate(FIRST_BUFFER);
     private final ArrivalTimes arrivals = new ArrivalTimes();
-    private long consumed;            // bytes that were taken out of the input before those that it holds
+    private long consumed; // bytes that were taken out of the input before those that it holds
     private ByteBuffer writing;
     private EventLoop.Deadline stall;
     private boolean connected;
     private boolean reading;
-    private boolean readingAhead;     // the read that is out is not into the input
+    private boolean readingAhead; // the read that is out is not into the input
     private boolean offering;
-    private ByteBuffer ahead;         // only while a read ahead is out
+    private ByteBuffer ahead; // only while a read ahead is out
     /** What a read brought waits for its turn on the loop. Set by the thread that completes it. */
     private volatile boolean unseen;
-    private boolean paused;           // what was read is not all consumed, since no more input was wanted
+    private boolean paused; // what was read is not all consumed, since no more input was wanted
     private CloseReason peerEnded;
     private CloseReason closeWhenWritten;
-    private Runnable moving;          // what begins on the loop that it moves to, once nothing of it is out here
+    private Runnable moving; // what begins on the loop that it moves to, once nothing of it is out here
     private Network movingTo;
-    private int toDrop;               // bytes still read for nothing while a connection ends
-    private long dropped;             // bytes read for nothing behind what can't be understood
+    private int toDrop; // bytes still read for nothing while a connection ends
+    private long dropped; // bytes read for nothing behind what can't be understood
     private boolean closed;
 
     protected Connection(Network network, String kind, AsynchronousSocketChannel channel, int greatestBuffer) {
@@ -66,7 +66,7 @@
     }
 
     /** All output was handed to the socket. */
-    protected void written() { }
+    protected void written() {}
 
     /**
      * Whether to take what was read; a connection that says no calls {@link #readMore} later. Reading goes on ahead of
@@ -86,7 +86,9 @@
         return unseen;
     }
 
-    /** Whether it is ending: its peer has ended, or its last output is out or being written. Nothing is begun for it. */
+    /**
+     * Whether it is ending: its peer has ended, or its last output is out or being written. Nothing is begun for it.
+     */
     protected final boolean isEnding() {
         return closed || closeWhenWritten != null || peerEnded != null;
     }
@@ -130,7 +132,7 @@
     }
 
     /** Nothing of it is out on the present loop, which it leaves now. */
-    protected void leaving() { }
+    protected void leaving() {}
 
     /** Goes on after a move, on the new loop: with what had been read before, then with what comes. */
     protected final void resume() {
@@ -352,7 +354,7 @@
     }
 
     /** Nothing more is sent on it; it ends with its peer's end, or after a moment. */
-    protected void lingering() { }
+    protected void lingering() {}
 
     private void drop(int count) {
         toDrop -= count;
@@ -458,7 +460,7 @@
                     } catch (RuntimeException e) {
                         network.counters().add(Counters.Name.FAULTS);
                         e.printStackTrace();
-                        close(CloseReason.FAULT);   // or it would stay open, marked as reading, and never read again
+                        close(CloseReason.FAULT); // or it would stay open, marked as reading, and never read again
                     }
                 });
             }
--- a/gateway/src/main/java/shelffront/net/EventLoop.java
+++ b/gateway/src/main/java/shelffront/net/EventLoop.java
@@ -38,7 +38,7 @@
     /** Microseconds that a flow of weight 1 may use before the next one has its turn. */
     private static final long QUANTUM = 200;
 
-    private record Result(Flow<Runnable> flow, Runnable task) { }
+    private record Result(Flow<Runnable> flow, Runnable task) {}
 
     /** Bounded by what can be out: a read and a write for each connection, and one accept. */
     private final LinkedBlockingQueue<Result> results = new LinkedBlockingQueue<>();
--- a/gateway/src/main/java/shelffront/rehearsal/Rehearsal.java
+++ b/gateway/src/main/java/shelffront/rehearsal/Rehearsal.java
@@ -35,7 +35,7 @@
     private final ServerSocket host = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     private final ServerSocket discovery = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
 
-    private Rehearsal() throws IOException { }
+    private Rehearsal() throws IOException {}
 
     /** Runs to its end with the classes of the configuration that the environment names. */
     public static void run(Map<String, String> environment, Network network)
--- a/gateway/src/main/java/shelffront/server/Answer.java
+++ b/gateway/src/main/java/shelffront/server/Answer.java
@@ -18,13 +18,13 @@
 
     private enum Part { DESCRIPTION, ROW, COMPLETION, READY, OVER }
 
-    private static final int GREATEST_OTHER = 8192;   // Any message but a row.
+    private static final int GREATEST_OTHER = 8192; // Any message but a row.
     private static final Set<String> TOLD = Set.of("server_role", "commit_clock", "usage");
 
     private final ByteArrayOutputStream messages = new ByteArrayOutputStream();
     private final Map<String, String> told = new HashMap<>();
     private Part part = Part.DESCRIPTION;
-    private String value;             // the only column of the row
+    private String value; // the only column of the row
     private String errorCode;
     private boolean fatal;
 
--- a/gateway/src/main/java/shelffront/server/Errand.java
+++ b/gateway/src/main/java/shelffront/server/Errand.java
@@ -7,7 +7,7 @@
 final class Errand {
 
     final String member;
-    final Host host;                  // null where the list does not know the member
+    final Host host; // null where the list does not know the member
     final Attempt attempt;
     final long startedAt;
     Deadline connectBy;
--- a/gateway/src/main/java/shelffront/server/HostConnection.java
+++ b/gateway/src/main/java/shelffront/server/HostConnection.java
@@ -27,10 +27,10 @@
     private boolean ready;
     private Errand errand;
     private boolean requestWritten;
-    private boolean inPieces;         // part of a message has come
+    private boolean inPieces; // part of a message has come
     private boolean spoilt;
     private Answer answer = new Answer();
-    private int held;                 // bytes of the answer that the memory budget counts
+    private int held; // bytes of the answer that the memory budget counts
 
     HostConnection(Network network, AsynchronousSocketChannel channel, Host host, Servers servers, long openWithin) {
         super(network, "host", channel, Message.GREATEST_ROW);
@@ -166,7 +166,7 @@
         if (surplus) {
             close(CloseReason.SURPLUS);
         } else {
-            servers.freed(this);     // before the outcome, whose next send may want this connection
+            servers.freed(this); // before the outcome, whose next send may want this connection
         }
         servers.finish(done, reply);
     }
--- a/gateway/src/main/java/shelffront/server/Report.java
+++ b/gateway/src/main/java/shelffront/server/Report.java
@@ -18,7 +18,7 @@
 
     private static final Pattern FIELD = Pattern.compile("([a-z0-9_]+)=([0-9]{1,12}(?:\\.[0-9]{1,18})?)");
 
-    private Report() { }
+    private Report() {}
 
     /** The figures that the module uses; null where the text is no report, for then none of it can be relied on. */
     static Load read(String text) {
--- a/gateway/src/main/java/shelffront/server/Servers.java
+++ b/gateway/src/main/java/shelffront/server/Servers.java
@@ -38,7 +38,7 @@
     }
 
     /** Who the hosts are told this is. */
-    public record Login(String user, String database) { }
+    public record Login(String user, String database) {}
 
     private static final byte[] PROBE = Message.query("SHOW usage".getBytes(US_ASCII));
 
@@ -50,7 +50,7 @@
     private final Map<String, Host> hosts = new TreeMap<>();
     /** In the order of their begin, so that closing all goes the same way each time. */
     private final Map<Attempt, Errand> errands = new LinkedHashMap<>();
-    private boolean owes;             // another tenant waits for a socket, and none of these was idle
+    private boolean owes; // another tenant waits for a socket, and none of these was idle
 
     /** Each connection takes one of the sockets, divided by weight and bounded, while it is open. */
     public Servers(Network network, Limits limits, Holdings sockets, double weight, int mostSockets, Login login,
--- a/gateway/src/main/java/shelffront/stages/ConsulEngine.java
+++ b/gateway/src/main/java/shelffront/stages/ConsulEngine.java
@@ -32,7 +32,9 @@
     private final KeyValueClient watches;
     private final String wait;
 
-    /** Calls are given up after the time; a watch that nothing changes answers after as long, and one second at least. */
+    /**
+     * Calls are given up after the time; a watch that nothing changes answers after as long, and one second at least.
+     */
     public ConsulEngine(String host, int port, Duration most) {
         where = host + ":" + port;
         HostAndPort at = HostAndPort.fromParts(host, port);
@@ -60,7 +62,7 @@
             throw e.getCause() instanceof com.fasterxml.jackson.core.JacksonException
                     ? new EngineGarbled("the engine at " + where + " answered what can't be read", e)
                     : new EngineUnreachable(where, e);
-        } catch (RuntimeException e) {       // the client's own, at an answer that lacks what it must have
+        } catch (RuntimeException e) { // the client's own, at an answer that lacks what it must have
             throw new EngineGarbled("the engine at " + where + " answered what can't be read: " + e, e);
         }
     }
--- a/gateway/src/main/java/shelffront/stages/Engine.java
+++ b/gateway/src/main/java/shelffront/stages/Engine.java
@@ -9,10 +9,10 @@
 public interface Engine extends AutoCloseable {
 
     /** A key's text; the index changes with every write and never comes back. */
-    record Value(String key, long index, String text) { }
+    record Value(String key, long index, String text) {}
 
     /** What stands under a prefix, and the index of that answer. */
-    record Listing(long index, List<Value> values) { }
+    record Listing(long index, List<Value> values) {}
 
     /** A key, or null. */
     Value read(String key) throws StageException.EngineException;
--- a/gateway/src/main/java/shelffront/stages/History.java
+++ b/gateway/src/main/java/shelffront/stages/History.java
@@ -18,7 +18,7 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    private final Writer out;             // null: nobody wants it
+    private final Writer out; // null: nobody wants it
 
     private History(Writer out) {
         this.out = out;
--- a/gateway/src/main/java/shelffront/stages/StageException.java
+++ b/gateway/src/main/java/shelffront/stages/StageException.java
@@ -45,7 +45,8 @@
         EngineUnreachable(String where, Throwable cause) {
             super("engine-unreachable", "the engine at " + where + " does not answer: " + cause.getMessage(),
                     "Look at the engine's agent and the way to it. Gateways fall back to the safe stage when their"
-                            + " leases lapse and come back by themselves.", cause);
+                            + " leases lapse and come back by themselves.",
+                    cause);
         }
     }
 
@@ -68,7 +69,9 @@
 
         EngineGarbled(String what, Throwable cause) {
             super("engine-garbled", what, "See who else writes under this fleet's prefix, and whether all gateways are"
-                    + " of a build that knows the form. Put back what the key held; never take it away while gateways run.", cause);
+                    + " of a build that knows the form. Put back what the key held; never take it away while gateways"
+                    + " run.",
+                    cause);
         }
     }
 
--- a/gateway/src/main/java/shelffront/stages/Stages.java
+++ b/gateway/src/main/java/shelffront/stages/Stages.java
@@ -41,7 +41,7 @@
     private static final long MOVING = 100_000;
 
     /** What is in force: a standing, until its lease lapses. */
-    private record Force(Standing standing, long until) { }
+    private record Force(Standing standing, long until) {}
 
     /** One subject as this gateway has it; its holder is guarded by the shard's lock, the rest is read without. */
     private static final class Subject {
@@ -51,7 +51,7 @@
         private final OpenActs open = new OpenActs();
         private Holder holder;
         private volatile Force force;
-        private volatile List<String> waitsFor = List.of();   // known where this gateway is owner
+        private volatile List<String> waitsFor = List.of(); // known where this gateway is owner
 
         private Subject(String name, List<String> stages, Bounds bounds) {
             this.name = name;
@@ -69,11 +69,11 @@
     private final Map<String, Subject> subjects = new HashMap<>();
     private final List<List<Subject>> shards = new ArrayList<>();
     private final List<Thread> threads = new ArrayList<>();
-    private final Map<String, String> said = new ConcurrentHashMap<>();   // the last complaint of each thread
+    private final Map<String, String> said = new ConcurrentHashMap<>(); // the last complaint of each thread
     private final Object ownerBell = new Object();
     private volatile boolean closed;
     private volatile boolean leads;
-    private long beat;                    // of the owner's key; the owner's thread only
+    private long beat; // of the owner's key; the owner's thread only
 
     /**
      * @param instance of this process: a gateway that starts again is another one, whose leases nobody remembers
@@ -230,7 +230,7 @@
         String key;
         long sentAt = now();
         synchronized (shard) {
-            publish(s);               // before what is open is looked at: see begin
+            publish(s); // before what is open is looked at: see begin
             wish = s.holder.wish(sentAt, s.open.oldest());
             key = prefix + "members/" + s.name + "/" + instance + "." + s.holder.term();
         }
@@ -315,7 +315,7 @@
                 index = engine.watch(prefix + "standing/", index).index();
                 said.remove("watch");
                 if (index < last) {
-                    index = 0;            // the engine began anew
+                    index = 0; // the engine began anew
                 }
                 if (index != last) {
                     for (List<Subject> shard : shards) {
@@ -361,7 +361,7 @@
                 leads = (mine || free) && engine.put(prefix + "owner", at, instance + " " + ++beat);
                 if (leads != led) {
                     log.println(leads ? "owns the fleet's stages" : "owns the fleet's stages no longer");
-                    owners.clear();       // what was seen before tells nothing of the time between
+                    owners.clear(); // what was seen before tells nothing of the time between
                     subjects.values().forEach(s -> s.waitsFor = List.of());
                 }
                 for (Subject s : subjects.values()) {
@@ -400,7 +400,8 @@
             if (wish instanceof Owner.Move m) {
                 if (engine.put(key, m.index(), text(s, m.to()))) {
                     history.moved(instance, s.name, m.to(), now());
-                    log.println("moved " + s.name + " to " + s.stages.get(m.to().stage()) + ", epoch " + m.to().epoch());
+                    log.println(
+                            "moved " + s.name + " to " + s.stages.get(m.to().stage()) + ", epoch " + m.to().epoch());
                 }
             } else if (wish instanceof Owner.Revoke r) {
                 if (engine.put(r.key(), r.index(), text(r.revoked(), 0))) {
@@ -425,7 +426,7 @@
      * @param waitsFor where it is, the members that hold up the next move
      */
     public record Shown(String subject, String stage, String target, long epoch, String inForceHere, boolean owner,
-            List<String> waitsFor) { }
+            List<String> waitsFor) {}
 
     /** Where all subjects stand, by name, or the one that is named; null: all. */
     public List<Shown> show(String only) throws StageException {
--- a/gateway/src/main/java/shelffront/store/Store.java
+++ b/gateway/src/main/java/shelffront/store/Store.java
@@ -26,10 +26,10 @@
     public enum Kind { TENANT, TOKEN }
 
     /** A document and the revision of its last change. */
-    public record Entry(String name, long revision, JsonNode document) { }
+    public record Entry(String name, long revision, JsonNode document) {}
 
     /** Who changed what, when (Unix milliseconds), from which revision to which; 0 is none. */
-    public record Audit(long revision, long before, long at, String who, String what, Kind kind, String name) { }
+    public record Audit(long revision, long before, long at, String who, String what, Kind kind, String name) {}
 
     /** The document is not at the revision that the change was made for. */
     public static final class ConflictException extends Exception {
@@ -84,7 +84,7 @@
                         throw new IOException(file + " is not a store of shelffront, or of a later form");
                     }
                     for (String map : List.of("documents", "audits")) {
-                        look.openMap(map).forEach((name, text) -> { });
+                        look.openMap(map).forEach((name, text) -> {});
                     }
                 }
             }
--- a/gateway/src/main/java/shelffront/tenant/Keys.java
+++ b/gateway/src/main/java/shelffront/tenant/Keys.java
@@ -16,7 +16,7 @@
     private static final int BYTES = 32;
     private static final SecureRandom RANDOM = new SecureRandom();
 
-    private Keys() { }
+    private Keys() {}
 
     public static String generate() {
         byte[] bytes = new byte[BYTES];
--- a/gateway/src/main/java/shelffront/tenant/SpecJson.java
+++ b/gateway/src/main/java/shelffront/tenant/SpecJson.java
@@ -69,7 +69,7 @@
     private static final JsonSchema SCHEMA = schema();
     private static final long MS = 1000;
 
-    private SpecJson() { }
+    private SpecJson() {}
 
     private static JsonSchema schema() {
         try (InputStream in = SpecJson.class.getResourceAsStream("/shelffront/tenant.schema.json")) {
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -56,7 +56,7 @@
     private final Network network;
     private final EventLoop loop;
     private final long seed;
-    private final Shares shares;          // null where it has the gateway to itself
+    private final Shares shares; // null where it has the gateway to itself
     private final Shares.Share share;
     private final Holdings sockets;
     private final RateLimit rate;
@@ -65,14 +65,14 @@
     private Router router;
     private Servers servers;
     private Discovery discovery;
-    private MemberList heard;             // the list last heard, before what administrators drained
-    private long parked;                  // the time of the module's timer that came while it slept; 0: none
+    private MemberList heard; // the list last heard, before what administrators drained
+    private long parked; // the time of the module's timer that came while it slept; 0: none
     private Deadline wake;
     private Deadline sleep;
     private Runnable whenGone;
-    private boolean left;             // nothing of it remains
-    private boolean predecessor;          // another module served this tenant's sessions, and still does
-    private long marksFrom;               // writes before this time may have gone through another module
+    private boolean left; // nothing of it remains
+    private boolean predecessor; // another module served this tenant's sessions, and still does
+    private long marksFrom; // writes before this time may have gone through another module
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final Set<Clients.Client> clients = new LinkedHashSet<>();
 
@@ -143,7 +143,7 @@
     private void fallAsleep() {
         sleep = null;
         if (!exchanges.isEmpty()) {
-            sleep = loop.at(loop.now() + SLEEP_AFTER, this::fallAsleep);   // what is still out ends before long
+            sleep = loop.at(loop.now() + SLEEP_AFTER, this::fallAsleep); // what is still out ends before long
             return;
         }
         // What was known of boxes will be old by then; an empty list leaves the module its sessions' marks.
@@ -241,7 +241,7 @@
             shares.leave(share);
         }
         left = true;
-        if (!predecessor) {          // else whoever comes after this one would not wait for the one before it
+        if (!predecessor) { // else whoever comes after this one would not wait for the one before it
             whenGone.run();
         }
     }
@@ -294,13 +294,14 @@
 
     /** What it uses now and what it has done since the start. */
     public Usage usage() {
-        return new Usage(clients.size(), exchanges.size(), servers == null ? 0 : servers.held(), network.budget().held(),
+        return new Usage(clients.size(), exchanges.size(), servers == null ? 0 : servers.held(),
+                network.budget().held(),
                 network.counters().values());
     }
 
     /** Counts of the moment, and counters since the start. */
     public record Usage(int clientConnections, int openRequests, long hostConnections, long bufferBytes,
-            Map<String, Long> counters) { }
+            Map<String, Long> counters) {}
 
     // ---- From the client side ---------------------------------------------------------------------------------
 
@@ -393,7 +394,7 @@
         if (exchanges.get(exchange.id) == exchange && !exchange.answered) {
             exchange.answered = true;
             router.onClientGone(loop.now(), exchange.id);
-            finished(asker -> { }, exchange);
+            finished(asker -> {}, exchange);
         }
     }
 
@@ -459,7 +460,8 @@
         Set<String> drained = new HashSet<>(spec.drained());
         List<Member> members = drained.isEmpty() ? list.members() : list.members().stream()
                 .map(m -> drained.contains(m.id()) && m.availability() == Availability.LIVE
-                        ? m.as(Availability.DRAINING) : m).toList();
+                        ? m.as(Availability.DRAINING) : m)
+                .toList();
         router.onMembers(loop.now(), kind, list.revision(), members);
     }
 
--- a/gateway/src/main/java/shelffront/tenant/TenantSpec.java
+++ b/gateway/src/main/java/shelffront/tenant/TenantSpec.java
@@ -27,10 +27,10 @@
 
     /** What a tenant may use at most; a rate of 0 is no bound. */
     public record Bounds(double requestsPerSecond, double burst, int openRequests, int clientConnections,
-            int hostConnections, long bufferBytes) { }
+            int hostConnections, long bufferBytes) {}
 
     /** A user and the hash of its generated key; the key itself is kept nowhere. */
-    public record Credential(String user, byte[] hash) { }
+    public record Credential(String user, byte[] hash) {}
 
     /** Whether everything that a running tenant can't change under way is as in another. */
     boolean runsLike(TenantSpec other) {
--- a/gateway/src/main/java/shelffront/tenant/Tenants.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenants.java
@@ -76,7 +76,7 @@
      * and for what was written before that, reads must be covered.
      */
     public Runnable arrive(TenantSpec spec) {
-        apply(spec, at -> { });
+        apply(spec, at -> {});
         Tenant arrived = tenants.get(spec.id());
         arrived.succeeds();
         return arrived::predecessorGone;
--- a/gateway/src/test/java/shelffront/ServeIT.java
+++ b/gateway/src/test/java/shelffront/ServeIT.java
@@ -51,7 +51,10 @@
         }
     }
 
-    /** A JVM that was started with SIGHUP ignored keeps it ignored: no new configuration was taken up, and none said so. */
+    /**
+     * A JVM that was started with SIGHUP ignored keeps it ignored: no new configuration was taken up, and none said
+     * so.
+     */
     @Test(timeout = HANGING_MS)
     public void saysThatSighupIsIgnoredAndTakesUpTheFileAllTheSame() throws Exception {
         Path file = folder.newFile("config.json").toPath();
--- a/gateway/src/test/java/shelffront/admin/AdminTest.java
+++ b/gateway/src/test/java/shelffront/admin/AdminTest.java
@@ -49,7 +49,7 @@
 class AdminTest {
 
     private static final ObjectMapper JSON = new ObjectMapper();
-    private static final String SECRET = "harbour-secret-weight";   // Stands in the other tenant alone.
+    private static final String SECRET = "harbour-secret-weight"; // Stands in the other tenant alone.
     private static Hosted hosted;
     private static Thread turns;
     private static String operator;
@@ -61,7 +61,7 @@
     static void start() throws Exception {
         openapi = JSON.readTree(Path.of("../docs/openapi.json").toFile());
         ObjectNode config = JSON.createObjectNode().put("listen", "127.0.0.1:0").put("admin", "127.0.0.1:0");
-        hosted = new Hosted(HostedConfig.read(config), line -> { });
+        hosted = new Hosted(HostedConfig.read(config), line -> {});
         turns = hosted.start();
         operator = hosted.tokens().create(null, "test");
         assertEquals(201, call("POST", "/v1/tenants", operator, tenant("airport")).statusCode());
@@ -301,7 +301,7 @@
                 socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
                 answer = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             } catch (IOException e) {
-                answer = "";                 // reset while it was still being sent
+                answer = ""; // reset while it was still being sent
             }
             assertTrue(answer.isEmpty() || answer.startsWith("HTTP/1.1 4"), answer);
         }
--- a/gateway/src/test/java/shelffront/benchlink/AdapterIT.java
+++ b/gateway/src/test/java/shelffront/benchlink/AdapterIT.java
@@ -38,7 +38,7 @@
             ["eofBatch"]
             """.replace("FACTS", FACTS);
 
-    private record Result(int code, List<String> out, List<String> err) { }
+    private record Result(int code, List<String> out, List<String> err) {}
 
     private static Result run(String input, String... arguments) throws IOException, InterruptedException {
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
--- a/gateway/src/test/java/shelffront/gateway/PlayRunner.java
+++ b/gateway/src/test/java/shelffront/gateway/PlayRunner.java
@@ -60,10 +60,10 @@
     /** Holds that were asked for and not reached yet, in their order. */
     private final Set<CountDownLatch> holds = new LinkedHashSet<>();
     private final BlockingQueue<CountDownLatch> reached = new ArrayBlockingQueue<>(100);
-    private CountDownLatch held;          // where the loop stands still
+    private CountDownLatch held; // where the loop stands still
     private final WatchedChannels channels = new WatchedChannels();
-    private long opened;                  // connections to the gateway
-    private long ended;                   // ends of connections since the loop was held
+    private long opened; // connections to the gateway
+    private long ended; // ends of connections since the loop was held
     private long endsBefore;
     private long written;
 
@@ -124,7 +124,7 @@
                 if (held == null && holds.isEmpty()) {
                     untilTurned();
                 } else if (held == null) {
-                    loop.post(() -> { });     // wakes the loop, which will not come to the end of its turn
+                    loop.post(() -> {}); // wakes the loop, which will not come to the end of its turn
                 }
             }
             case "hold" -> hold(verb);
@@ -191,7 +191,7 @@
         try {
             return socket.getInputStream().readAllBytes();
         } catch (SocketException e) {
-            return new byte[0];          // a reset is an end too
+            return new byte[0]; // a reset is an end too
         }
     }
 
--- a/gateway/src/test/java/shelffront/net/QueuedLogTest.java
+++ b/gateway/src/test/java/shelffront/net/QueuedLogTest.java
@@ -45,7 +45,7 @@
         log.println("first");
         assertTrue(reader.taken.await(20, TimeUnit.SECONDS));
         for (int i = 0; i < 10_000; i++) {
-            log.println("line " + i);            // would never return if it waited for the reader
+            log.println("line " + i); // would never return if it waited for the reader
         }
         long dropped = log.dropped();
         assertEquals(10_000 - 4096, dropped);
--- a/gateway/src/test/java/shelffront/server/ReportTest.java
+++ b/gateway/src/test/java/shelffront/server/ReportTest.java
@@ -21,7 +21,7 @@
     @Test
     public void takesNothingFromWhatIsNoReport() {
         for (String text : new String[] {null, "", "x0", "x0=", "x0=NaN", "x0=1e300,x1=1", "x0=-5", "x0=1767225600,",
-            "x0=1767225600.123,x1=1,qu\u00ff", "x0=1767225600123456,x1=1", "x0=1.2.3", "a".repeat(5000)}) {
+                "x0=1767225600.123,x1=1,qu\u00ff", "x0=1767225600123456,x1=1", "x0=1.2.3", "a".repeat(5000)}) {
             assertNull(text, Report.read(text));
         }
     }
--- a/gateway/src/test/java/shelffront/stages/StagesTest.java
+++ b/gateway/src/test/java/shelffront/stages/StagesTest.java
@@ -73,7 +73,7 @@
         }
 
         @Override
-        public void close() { }
+        public void close() {}
     }
 
     private static StagesConfig config(String more) throws Exception {
@@ -137,11 +137,14 @@
     @Test
     void aFileAtFaultIsNamedByItsField() throws Exception {
         assertEquals(2, config("").shards());
-        for (String[] bad : new String[][] {{",\"leaseMs\":1", "/fleet/leaseMs"}, {",\"leaseMs\":\"6\"", "/fleet/leaseMs"},
-            {",\"drift\":0.9", "/fleet/drift"}, {",\"suspectMs\":100", "/fleet/suspectMs"},
-            {",\"engine\":\"here\"", "/fleet/engine"}, {",\"subjects\":{}", "/fleet/subjects"},
-            {",\"subjects\":{\"s\":[\"a\"]}", "/fleet/subjects/s"}, {",\"subjects\":{\"s\":[\"a\",\"a\"]}", "/fleet/subjects/s"},
-            {",\"name\":\"a/b\"", "/fleet/name"}, {",\"shards\":0", "/fleet/shards"}, {",\"other\":1", "/fleet/other"}}) {
+        for (String[] bad : new String[][] {{",\"leaseMs\":1", "/fleet/leaseMs"},
+                {",\"leaseMs\":\"6\"", "/fleet/leaseMs"},
+                {",\"drift\":0.9", "/fleet/drift"}, {",\"suspectMs\":100", "/fleet/suspectMs"},
+                {",\"engine\":\"here\"", "/fleet/engine"}, {",\"subjects\":{}", "/fleet/subjects"},
+                {",\"subjects\":{\"s\":[\"a\"]}", "/fleet/subjects/s"},
+                {",\"subjects\":{\"s\":[\"a\",\"a\"]}", "/fleet/subjects/s"},
+                {",\"name\":\"a/b\"", "/fleet/name"}, {",\"shards\":0", "/fleet/shards"},
+                {",\"other\":1", "/fleet/other"}}) {
             SpecException e = assertThrows(SpecException.class, () -> config(bad[0]), bad[0]);
             assertEquals(bad[1], e.pointer());
         }
--- a/gateway/src/test/java/shelffront/store/StoreTest.java
+++ b/gateway/src/test/java/shelffront/store/StoreTest.java
@@ -35,7 +35,7 @@
     /** The other process: changes two documents in turn until it is killed, and says which changes were answered. */
     public static final class Writer {
 
-        private Writer() { }
+        private Writer() {}
 
         public static void main(String[] arguments) throws Exception {
             try (Store store = Store.open(Path.of(arguments[0]))) {
@@ -68,7 +68,7 @@
                 while (spins-- > 0) {
                     Thread.onSpinWait();
                 }
-                writer.toHandle().destroyForcibly();   // SIGKILL; leaves what it wrote to be read
+                writer.toHandle().destroyForcibly(); // SIGKILL; leaves what it wrote to be read
                 for (String line = out.readLine(); line != null && !line.isEmpty(); line = out.readLine()) {
                     answered = Math.max(answered, Long.parseLong(line));
                 }
--- a/gateway/src/test/java/shelffront/tenant/TenantSleepTest.java
+++ b/gateway/src/test/java/shelffront/tenant/TenantSleepTest.java
@@ -74,7 +74,7 @@
 
     @BeforeEach
     void start() throws Exception {
-        network = Network.open(loop, new Budget(1 << 24), new Counters(), line -> { });
+        network = Network.open(loop, new Budget(1 << 24), new Counters(), line -> {});
         TenantSpec spec = SpecJson.read(SpecJson.parse("""
                 {"id": "airport", "boxes": {"list": []}, "graceMs": 2000,
                  "classes": [{"name": "read", "giveUpMs": 100000, "read": "session"}]}
@@ -111,8 +111,8 @@
 
     private int later(long seconds) throws Exception {
         clock.addAndGet(seconds * SECOND);
-        turn(() -> { });
-        return turn(() -> { });
+        turn(() -> {});
+        return turn(() -> {});
     }
 
     private void ask(String id, long seconds) {
@@ -128,7 +128,7 @@
 
     @Test
     void itWakesWithItsFirstClientAndSleepsWithoutAny() throws Exception {
-        assertEquals(0, turn(() -> { }), "nothing before its first client");
+        assertEquals(0, turn(() -> {}), "nothing before its first client");
         assertTrue(turn(() -> tenant.joined(client)) > 0);
         assertTrue(later(100) > 0, "awake as long as it has a client");
         turn(() -> tenant.parted(client));
--- a/lab/src/main/java/shelffront/lab/Explore.java
+++ b/lab/src/main/java/shelffront/lab/Explore.java
@@ -20,8 +20,8 @@
 
 /** Plays scenarios drawn from seeds in virtual time, until a rule breaks or all are played. */
 @Command(name = "explore", mixinStandardHelpOptions = true, description = {
-    "Plays random scenarios of a virtual fleet and holds each against the rules.",
-    "Exit codes: 0 none broke a rule, 1 one did; each is printed as one command that plays the least of it."})
+        "Plays random scenarios of a virtual fleet and holds each against the rules.",
+        "Exit codes: 0 none broke a rule, 1 one did; each is printed as one command that plays the least of it."})
 final class Explore implements Callable<Integer> {
 
     @Option(names = "--from", defaultValue = "1", description = "the first seed (${DEFAULT-VALUE})")
@@ -39,7 +39,7 @@
     @Option(names = "--no-shrink", description = "print failing seeds as they are")
     private boolean noShrink;
 
-    private record Failed(long seed, Fleet.Result result) { }
+    private record Failed(long seed, Fleet.Result result) {}
 
     @Override
     public Integer call() throws Exception {
@@ -97,7 +97,7 @@
 
     /** Plays one seed, whole or cut down. */
     @Command(name = "replay", mixinStandardHelpOptions = true, description = {"Plays one seed of the virtual fleet.",
-        "Exit codes: 0 every rule kept, 1 one was not."})
+            "Exit codes: 0 every rule kept, 1 one was not."})
     static final class Replay implements Callable<Integer> {
 
         @Parameters(paramLabel = "SEED")
--- a/lab/src/main/java/shelffront/lab/Idle.java
+++ b/lab/src/main/java/shelffront/lab/Idle.java
@@ -56,7 +56,7 @@
                     arrived.release();
                 }
             } catch (ClosedChannelException e) {
-                return;                          // it is over
+                return; // it is over
             } catch (IOException e) {
                 throw new IllegalStateException(e);
             }
@@ -83,7 +83,7 @@
 
     @Override
     public Integer call() throws Exception {
-        measure(50);                             // code and pools are there before anything counts
+        measure(50); // code and pools are there before anything counts
         System.out.println("| idle connections | heap each at the relay, two sockets | at the gateway, one socket |");
         System.out.println("|---|---|---|");
         System.out.println(measure(count));
@@ -104,10 +104,10 @@
         ObjectNode tenant = Scale.tenant("t0", 1);
         tenant.with("limits").put("clientConnections", connections + 10);
         config.putArray("tenants").add(tenant);
-        Hosted hosted = new Hosted(HostedConfig.read(config), line -> { });
+        Hosted hosted = new Hosted(HostedConfig.read(config), line -> {});
         Thread turns = hosted.start();
         double served = each(new InetSocketAddress(InetAddress.getLoopbackAddress(), hosted.address().getPort()),
-                connections, true, () -> { }) - pair / 2;
+                connections, true, () -> {}) - pair / 2;
         hosted.drain();
         turns.join();
         return String.format(Locale.ROOT, "| %d | %.0f bytes | %.0f bytes |", connections, relayed, served);
@@ -123,7 +123,7 @@
             throws Exception {
         List<SocketChannel> clients = new ArrayList<>(connections);
         byte[] startup = Message.startup("api", "t0");
-        byte[] empty = Message.query(";".getBytes(US_ASCII));   // one that never asks is closed before long
+        byte[] empty = Message.query(";".getBytes(US_ASCII)); // one that never asks is closed before long
         ByteBuffer buffer = ByteBuffer.allocateDirect(1024);
         long before = Scale.heap();
         try {
--- a/lab/src/main/java/shelffront/lab/LabMain.java
+++ b/lab/src/main/java/shelffront/lab/LabMain.java
@@ -22,10 +22,11 @@
 @Command(name = "shelffront-lab", mixinStandardHelpOptions = true,
         description = "Plays load and faults against shelffront on stand-in boxes of its own.",
         subcommands = {LabMain.Run.class, LabMain.Compare.class, Explore.class, Explore.Replay.class, Demo.class,
-            Scale.class, Idle.class, ServeFleet.class, ConsulStandIn.class, StageExplore.class, LabMain.Report.class})
+                Scale.class, Idle.class, ServeFleet.class, ConsulStandIn.class, StageExplore.class,
+                LabMain.Report.class})
 public final class LabMain {
 
-    private LabMain() { }
+    private LabMain() {}
 
     public static void main(String[] arguments) {
         CommandLine line = new CommandLine(new LabMain());
@@ -60,8 +61,8 @@
 
     /** Makes the summary and the charts of a kept experiment anew. */
     @Command(name = "report", mixinStandardHelpOptions = true, description = {
-        "Makes the summary and the charts of a kept virtual experiment anew from its runs, and prints the summary.",
-        "Exit codes: 0 every claim kept, 1 one was not."})
+            "Makes the summary and the charts of a kept virtual experiment anew from its runs, and prints the summary.",
+            "Exit codes: 0 every claim kept, 1 one was not."})
     static final class Report implements Callable<Integer> {
 
         @Parameters(paramLabel = "DIRECTORY")
@@ -78,7 +79,7 @@
 
     /** Plays one experiment. */
     @Command(name = "run", mixinStandardHelpOptions = true, description = {"Plays an experiment and prints its table.",
-        "Exit codes: 0 every claim kept, 1 one was not, 2 the machine was too slow to tell."})
+            "Exit codes: 0 every claim kept, 1 one was not, 2 the machine was too slow to tell."})
     static final class Run implements Callable<Integer> {
 
         @Parameters(paramLabel = "FILE", description = "Jsonnet or JSON, see lab/experiments")
--- a/lab/src/main/java/shelffront/lab/Scale.java
+++ b/lab/src/main/java/shelffront/lab/Scale.java
@@ -32,7 +32,7 @@
 
     @Override
     public Integer call() throws Exception {
-        one(20);                                 // code is compiled before anything counts
+        one(20); // code is compiled before anything counts
         System.out.println("| tenants | start from the store s | heap for each KB | change in force, median ms "
                 + "| p99 ms |");
         System.out.println("|---|---|---|---|---|");
@@ -52,12 +52,12 @@
                 list.add(tenant("t" + i, 1));
             }
             HostedConfig seeded = HostedConfig.read(config);
-            stop(new Hosted(seeded, line -> { }));
+            stop(new Hosted(seeded, line -> {}));
             config.remove("tenants");
             HostedConfig bare = HostedConfig.read(config);
             long before = heap();
             long from = System.nanoTime();
-            Hosted hosted = new Hosted(bare, line -> { });
+            Hosted hosted = new Hosted(bare, line -> {});
             Thread turns = hosted.start();
             hosted.held().get(60, TimeUnit.SECONDS);
             double start = (System.nanoTime() - from) / 1e9;
--- a/lab/src/main/java/shelffront/lab/ServeFleet.java
+++ b/lab/src/main/java/shelffront/lab/ServeFleet.java
@@ -17,10 +17,10 @@
 
 /** Stand-in sets with their list of boxes on loopback, to point a gateway at and break by hand. */
 @Command(name = "serve-fleet", mixinStandardHelpOptions = true, description = {
-    "Serves stand-in boxes and their list (discovery) on loopback until the time is over or its input ends.",
-    "Commands on its input, a line each:",
-    "  list | kill BOX | restart BOX | drain BOX | slow BOX TIMES SECONDS | silence BOX | spoil BOX | well BOX",
-    "  break-watches | discovery down | discovery up | stop"})
+        "Serves stand-in boxes and their list (discovery) on loopback until the time is over or its input ends.",
+        "Commands on its input, a line each:",
+        "  list | kill BOX | restart BOX | drain BOX | slow BOX TIMES SECONDS | silence BOX | spoil BOX | well BOX",
+        "  break-watches | discovery down | discovery up | stop"})
 final class ServeFleet implements Callable<Integer> {
 
     private static final long SECOND = 1_000_000;
@@ -61,7 +61,7 @@
                 sets.add(new StandInSet(carrier, "s" + i, boxCount, figures, this::tell));
             }
             InetSocketAddress at = new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
-            catalogue = new Catalogue(carrier, at, (to, some, complete) -> { });
+            catalogue = new Catalogue(carrier, at, (to, some, complete) -> {});
             carrier.post(() -> sets.forEach(this::tell));
             System.out.println("list of boxes: http://127.0.0.1:" + port);
             sets.forEach(s -> s.boxes().forEach(this::print));
--- a/lab/src/main/java/shelffront/lab/audit/Auditor.java
+++ b/lab/src/main/java/shelffront/lab/audit/Auditor.java
@@ -37,7 +37,7 @@
 
     /** How far a time limit may be passed: what the network takes, and the clocks' grain. */
     private static final long SLACK = 60_000;
-    private static final int MOST_KEPT = 5;     // of each rule, in full
+    private static final int MOST_KEPT = 5; // of each rule, in full
 
     /** One try of a request at a box. */
     public static final class Try {
@@ -73,7 +73,7 @@
         public final int gateway;
         public final long sentAt;
         public final long deadline;
-        public final long mark;           // the commit that its session must see
+        public final long mark; // the commit that its session must see
         final List<Try> tries = new ArrayList<>();
         boolean answered;
         boolean excused;
@@ -229,7 +229,7 @@
                                 (writtenAt - first) / 1e3));
                     }
                 }
-                default -> { }
+                default -> {}
             }
         }
         Long told = drains.get(a.gateway + "/" + box);
--- a/lab/src/main/java/shelffront/lab/carrier/SocketCarrier.java
+++ b/lab/src/main/java/shelffront/lab/carrier/SocketCarrier.java
@@ -225,7 +225,7 @@
         private final List<byte[]> in = new ArrayList<>();
         private final ArrayDeque<ByteBuffer> out = new ArrayDeque<>();
         private int inBytes;
-        private int inFrom;                   // of the first piece, what has been read
+        private int inFrom; // of the first piece, what has been read
         private int outBytes;
         private boolean connected;
         private boolean ended;
@@ -301,7 +301,7 @@
             }
             interest();
             if (closing) {
-                in.clear();                   // nobody reads any more
+                in.clear(); // nobody reads any more
                 inBytes = 0;
                 if (broken) {
                     end();
--- a/lab/src/main/java/shelffront/lab/experiment/Bootstrap.java
+++ b/lab/src/main/java/shelffront/lab/experiment/Bootstrap.java
@@ -10,9 +10,9 @@
     private static final int SAMPLES = 2_000;
 
     /** A mean and where it lies. */
-    record Interval(double low, double mean, double high) { }
+    record Interval(double low, double mean, double high) {}
 
-    private Bootstrap() { }
+    private Bootstrap() {}
 
     /** Of the mean of some figures, at least one. */
     static Interval mean(double[] figures) {
--- a/lab/src/main/java/shelffront/lab/experiment/Experiment.java
+++ b/lab/src/main/java/shelffront/lab/experiment/Experiment.java
@@ -139,7 +139,7 @@
                 }
                 tenants.add(tenant(id, file.path("tenants").path(id), boxes));
             }
-            Hosted hosted = new Hosted(HostedConfig.read(config), line -> { });
+            Hosted hosted = new Hosted(HostedConfig.read(config), line -> {});
             Thread turns = hosted.start();
             try (Relay relay = phase.path("relay").asBoolean(false) ? relay(sets) : null) {
                 load(phase, hosted, turns, tenants, relay, sets.values());
@@ -188,7 +188,7 @@
                 InetAddress.getLoopbackAddress(), hosted.address().getPort());
         double warm = file.path("warmSeconds").asDouble(2);
         double seconds = file.path("seconds").asDouble(5);
-        run(phase, gateway, warm);                 // compiled code and known boxes before anything counts
+        run(phase, gateway, warm); // compiled code and known boxes before anything counts
         // A change in the midst of the same load: what was before it is over, and what is measured comes after.
         for (Iterator<String> each = phase.path("change").fieldNames(); each.hasNext();) {
             String id = each.next();
@@ -196,7 +196,7 @@
                 if (tenant.path("id").asText().equals(id)) {
                     ObjectNode next = tenant.deepCopy();
                     next.setAll((ObjectNode) phase.path("change").path(id));
-                    hosted.apply(SpecJson.read(next), at -> { });
+                    hosted.apply(SpecJson.read(next), at -> {});
                 }
             }
         }
@@ -212,7 +212,8 @@
             Load.Tally all = r.all;
             table.add(String.format(Locale.ROOT,
                     "| %s | %s | %s | %.0f | %.0f | %.3f | %.3f | %d | %d | %d | %d | %.2f | %.1f | %.1f "
-                    + "| %.1f | %.0f |", name, tenant,
+                            + "| %.1f | %.0f |",
+                    name, tenant,
                     file.path("tenants").path(tenant).path("weight").asText("1"), all.due / seconds,
                     all.onTime / seconds, r.worthKept(), r.worstWindow(), all.refused, all.late, all.failed,
                     all.unanswered, r.served.getValueAtPercentile(50) / 1e3,
--- a/lab/src/main/java/shelffront/lab/experiment/LoadJson.java
+++ b/lab/src/main/java/shelffront/lab/experiment/LoadJson.java
@@ -10,7 +10,7 @@
 /** Loads as experiment files say them. */
 final class LoadJson {
 
-    private LoadJson() { }
+    private LoadJson() {}
 
     /**
      * One class by its number ({@code class}), or all by their parts ({@code mix}, in the order of the tenant's
--- a/lab/src/main/java/shelffront/lab/experiment/RunLog.java
+++ b/lab/src/main/java/shelffront/lab/experiment/RunLog.java
@@ -25,7 +25,7 @@
     private static final String PROGRAM = "program.crc";
     static final String RUNS = "runs.jsonl";
 
-    private final Path runs;              // null where nothing is kept
+    private final Path runs; // null where nothing is kept
     private final Map<String, KeptRun> known = new HashMap<>();
 
     private RunLog(Path runs) {
--- a/lab/src/main/java/shelffront/lab/experiment/VirtualExperiment.java
+++ b/lab/src/main/java/shelffront/lab/experiment/VirtualExperiment.java
@@ -183,11 +183,13 @@
         return new Scenario(0, s.path("gateways").asInt(2), s.path("sets").asInt(1), s.path("boxes").asInt(3),
                 s.path("perSecond").asDouble(200), micros(s, "seconds", 8), figures,
                 new Weather(s.path("latencyUs").asLong(300), s.path("jitterUs").asLong(700),
-                        s.path("chop").asDouble(0.1)), micros(s, "listDelaySeconds", 1),
+                        s.path("chop").asDouble(0.1)),
+                micros(s, "listDelaySeconds", 1),
                 deployment(s), new Means(s.path("sockets").asInt(1024),
-                s.path("gatewayWorkUs").asLong(0), s.path("gatewayPauses").asDouble(0),
-                s.path("tenants").asInt(0), s.path("loops").asInt(1),
-                s.path("clientConnections").asInt(Means.PLAIN.connections())), List.copyOf(faults));
+                        s.path("gatewayWorkUs").asLong(0), s.path("gatewayPauses").asDouble(0),
+                        s.path("tenants").asInt(0), s.path("loops").asInt(1),
+                        s.path("clientConnections").asInt(Means.PLAIN.connections())),
+                List.copyOf(faults));
     }
 
     private static Deployment deployment(JsonNode s) {
--- a/lab/src/main/java/shelffront/lab/load/Arrivals.java
+++ b/lab/src/main/java/shelffront/lab/load/Arrivals.java
@@ -24,7 +24,7 @@
     private static final double SWING = 0.8;
     private static final double BURST_EVERY = 2e6;
     private static final double BURST_LENGTH = 0.1e6;
-    private static final double BURST_PART = 0.5;     // of all requests come in bursts
+    private static final double BURST_PART = 0.5; // of all requests come in bursts
 
     private final Pattern pattern;
     private final double perSecond;
--- a/lab/src/main/java/shelffront/lab/load/ClientTalker.java
+++ b/lab/src/main/java/shelffront/lab/load/ClientTalker.java
@@ -20,7 +20,7 @@
     public interface Caller<R> {
 
         /** It has been let in. */
-        default void welcomed(ClientTalker<R> by) { }
+        default void welcomed(ClientTalker<R> by) {}
 
         /** An answer: a code where it is an error, the value else; when it was told to come back, in microseconds. */
         void answered(ClientTalker<R> by, R request, String value, String code, long retryAfter);
@@ -130,7 +130,7 @@
                 retryAfter = fields.containsKey('D') ? Long.parseLong(fields.get('D')) * 1000 : 0;
                 if ("FATAL".equals(fields.get('S'))) {
                     if (current == null) {
-                        code = null;          // a word before the end, to nobody's question
+                        code = null; // a word before the end, to nobody's question
                     }
                     over();
                 }
@@ -143,7 +143,7 @@
                     caller.welcomed(this);
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
--- a/lab/src/main/java/shelffront/lab/model/DatabaseSet.java
+++ b/lab/src/main/java/shelffront/lab/model/DatabaseSet.java
@@ -24,13 +24,13 @@
     public enum Kind { OK, MISS, FULL, ERROR }
 
     /** A request as a box sees it; {@code bound} is the greatest age that a read may have, 0 where its session says. */
-    public record Query(String id, String key, String session, boolean write, boolean fresh, long bound, long until) { }
+    public record Query(String id, String key, String session, boolean write, boolean fresh, long bound, long until) {}
 
     /** What comes of it: the position is the commit of a write, or that of a read's copy. */
-    public record Answer(Kind kind, boolean primary, long position) { }
+    public record Answer(Kind kind, boolean primary, long position) {}
 
     /** A write that took effect. */
-    public record Effect(String key, String id, long commit, String box) { }
+    public record Effect(String key, String id, long commit, String box) {}
 
     /** Told of what happens in the set, as it truly happens. */
     public interface Witness {
@@ -50,11 +50,11 @@
         void primary(Box box, Box before, List<Effect> lost);
     }
 
-    private record Entry(long commit, String session, Effect effect) { }
+    private record Entry(long commit, String session, Effect effect) {}
 
-    private record Waiting(Query query, Consumer<Answer> answer, long work, int life, long arrived) { }
+    private record Waiting(Query query, Consumer<Answer> answer, long work, int life, long arrived) {}
 
-    private record Arrival(long at, double work) { }
+    private record Arrival(long at, double work) {}
 
     /** One box of the set. */
     public final class Box {
@@ -62,12 +62,12 @@
         private final String id;
         private boolean up;
         private boolean draining;
-        private long startedAt;           // 0 if long ago
+        private long startedAt; // 0 if long ago
         private int busy;
-        private int life;                 // work of an earlier process is gone
+        private int life; // work of an earlier process is gone
         private final ArrayDeque<Waiting> room = new ArrayDeque<>();
-        private int next;                 // of the log, the entry to apply
-        private long freeAt;              // when its thread has applied the one before
+        private int next; // of the log, the entry to apply
+        private long freeAt; // when its thread has applied the one before
         private long slowUntil;
         private double slowness = 1;
         private final ArrayDeque<Arrival> arrivals = new ArrayDeque<>();
@@ -222,7 +222,7 @@
         private void done(Waiting w) {
             if (w.query().write()) {
                 if (!isPrimary()) {
-                    reply(w.answer(), Kind.ERROR);       // it was deposed meanwhile; nothing was committed
+                    reply(w.answer(), Kind.ERROR); // it was deposed meanwhile; nothing was committed
                     return;
                 }
                 long commit = apply(this, w.query(), w.arrived());
--- a/lab/src/main/java/shelffront/lab/rig/ConsulStandIn.java
+++ b/lab/src/main/java/shelffront/lab/rig/ConsulStandIn.java
@@ -37,7 +37,7 @@
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final long LONGEST_WAIT_MS = 600_000;
 
-    private record Entry(byte[] value, long created, long modified) { }
+    private record Entry(byte[] value, long created, long modified) {}
 
     @Option(names = "--port", defaultValue = "0", description = "0 for any (${DEFAULT-VALUE})")
     private int port;
@@ -46,7 +46,7 @@
     private Path file;
 
     private final TreeMap<String, Entry> entries = new TreeMap<>();
-    private final Map<String, Long> removed = new HashMap<>();   // by key, the index of its removal
+    private final Map<String, Long> removed = new HashMap<>(); // by key, the index of its removal
     private long index = 1;
     private Writer out;
     private boolean leaderless;
--- a/lab/src/main/java/shelffront/lab/rig/FaultRelay.java
+++ b/lab/src/main/java/shelffront/lab/rig/FaultRelay.java
@@ -10,7 +10,8 @@
 
 /**
  * A way between two processes that can be broken. Cut, in one direction or both, it carries nothing and says nothing:
- * connections stay open and silent, and what was written comes once it is whole again, as on a network that lost a link.
+ * connections stay open and silent, and what was written comes once it is whole again, as on a network that lost a
+ * link.
  */
 public final class FaultRelay implements AutoCloseable {
 
@@ -22,7 +23,7 @@
     private boolean cutThere;
     private boolean cutBack;
     private long delayMs;
-    private int trickle;                  // bytes at a time; 0: all there are
+    private int trickle; // bytes at a time; 0: all there are
 
     public FaultRelay(InetSocketAddress to) throws IOException {
         this.to = to;
@@ -74,7 +75,7 @@
                 open.add(here);
                 thread(() -> connect(here));
             } catch (IOException e) {
-                return;                   // it was closed
+                return; // it was closed
             }
         }
     }
--- a/lab/src/main/java/shelffront/lab/rig/StageExplore.java
+++ b/lab/src/main/java/shelffront/lab/rig/StageExplore.java
@@ -15,10 +15,10 @@
 
 /** Plays drawn schedules of faults on processes, one for each seed, and holds their histories against each other. */
 @Command(name = "stage-explore", mixinStandardHelpOptions = true, description = {
-    "Starts gateways and an engine as processes, moves a subject to and fro, and breaks what a seed draws: links cut one",
-    "way or both, slowed or reset, gateways stopped, killed, ended and started again, an engine that restarts, loses",
-    "its leader or garbles. Then all is made whole, and every gateway has to arrive.",
-    "Exit codes: 0 all held, 1 a seed is named that broke something, with the command that plays it again."})
+        "Starts gateways and an engine as processes, moves a subject to and fro, and breaks what a seed draws: links",
+        "cut one way or both, slowed or reset, gateways stopped, killed, ended and started again, an engine that",
+        "restarts, loses its leader or garbles. Then all is made whole, and every gateway has to arrive.",
+        "Exit codes: 0 all held, 1 a seed is named that broke something, with the command that plays it again."})
 public final class StageExplore implements Callable<Integer> {
 
     private static final List<String> STAGES = List.of("one", "two", "three", "four");
@@ -37,7 +37,7 @@
     private long leaseMs;
 
     @Option(names = "--odd-lease-ms", defaultValue = "0",
-            description = "the lease of the first gateway, wrong on purpose: the checker has to catch it (0: as the others)")
+            description = "the lease of the first gateway, wrong on purpose: the checker has to catch it (0: right)")
     private long oddLeaseMs;
 
     @Override
@@ -66,7 +66,8 @@
                 failed++;
                 broken.stream().limit(5).forEach(b -> System.out.println("  " + b));
                 System.out.println("  again: java -jar lab/target/shelffront-lab.jar stage-explore --from " + seed
-                        + " --seeds 1 --gateways " + gateways + " --lease-ms " + leaseMs + " --odd-lease-ms " + oddLeaseMs);
+                        + " --seeds 1 --gateways " + gateways + " --lease-ms " + leaseMs + " --odd-lease-ms "
+                        + oddLeaseMs);
             }
         }
         System.out.printf("%d seeds, %d moves, %d broken%n", seeds, moves, failed);
--- a/lab/src/main/java/shelffront/lab/rig/StageHistories.java
+++ b/lab/src/main/java/shelffront/lab/rig/StageHistories.java
@@ -22,9 +22,9 @@
     private static final ObjectMapper JSON = new ObjectMapper();
 
     /** A stage in force at one gateway, from and until by the monotonic clock in microseconds. */
-    record Span(String who, String subject, long epoch, int stage, long from, long until) { }
+    record Span(String who, String subject, long epoch, int stage, long from, long until) {}
 
-    private record Edge(long at, boolean begins, Span span) { }
+    private record Edge(long at, boolean begins, Span span) {}
 
     private final Map<String, List<Span>> spans = new TreeMap<>();
     private final Map<String, TreeMap<Long, String>> movers = new TreeMap<>();
@@ -58,7 +58,7 @@
             try {
                 o = JSON.readTree(line);
             } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
-                continue;                 // a process was killed in the middle of its last line
+                continue; // a process was killed in the middle of its last line
             }
             String subject = o.path("subject").asText();
             if (o.path("what").asText().equals("move")) {
--- a/lab/src/main/java/shelffront/lab/standin/Catalogue.java
+++ b/lab/src/main/java/shelffront/lab/standin/Catalogue.java
@@ -23,7 +23,7 @@
     private static final long PING = 2_000_000;
 
     /** A line of the list as it is told. */
-    public record Line(String id, String address, int cell, String phase, long startedMs, boolean writer) { }
+    public record Line(String id, String address, int cell, String phase, long startedMs, boolean writer) {}
 
     /** Told of what the list says to whom, as it is written. */
     public interface Told {
--- a/lab/src/main/java/shelffront/lab/standin/StandInSet.java
+++ b/lab/src/main/java/shelffront/lab/standin/StandInSet.java
@@ -140,7 +140,7 @@
 
     /** A primary and so many replicas, each with so many cores, which take {@code workMs} for a request; all warm. */
     public StandInSet(String name, int replicas, int cores, double workMs, long lagMs) throws IOException {
-        this(new SocketCarrier("set " + name), true, name, replicas + 1, plain(cores, workMs, lagMs), s -> { });
+        this(new SocketCarrier("set " + name), true, name, replicas + 1, plain(cores, workMs, lagMs), s -> {});
     }
 
     /** Boxes by their figures on a carrier that others may use too; told on its thread when there is a new primary. */
@@ -233,11 +233,11 @@
 
         @Override
         public Consumer<Answer> arrived(DatabaseSet.Box box, Wire from, Query query) {
-            return answer -> { };
+            return answer -> {};
         }
 
         @Override
-        public void tellsReplica(DatabaseSet.Box box, Wire to) { }
+        public void tellsReplica(DatabaseSet.Box box, Wire to) {}
 
         @Override
         public boolean spoils(DatabaseSet.Box box) {
@@ -250,10 +250,10 @@
         }
 
         @Override
-        public void malformed(DatabaseSet.Box box, ProtocolException why) { }
+        public void malformed(DatabaseSet.Box box, ProtocolException why) {}
 
         @Override
-        public void left(DatabaseSet.Box box) { }
+        public void left(DatabaseSet.Box box) {}
     }
 
     private final class Counting implements DatabaseSet.Witness {
@@ -273,10 +273,10 @@
         }
 
         @Override
-        public void read(DatabaseSet.Box box, Query query, long position) { }
+        public void read(DatabaseSet.Box box, Query query, long position) {}
 
         @Override
-        public void pushedOver(DatabaseSet.Box box) { }
+        public void pushedOver(DatabaseSet.Box box) {}
 
         @Override
         public void primary(DatabaseSet.Box box, DatabaseSet.Box before, List<Effect> lost) {
--- a/lab/src/main/java/shelffront/lab/virtual/End.java
+++ b/lab/src/main/java/shelffront/lab/virtual/End.java
@@ -14,7 +14,7 @@
     final Machine machine;
     Owner owner;
     End other;
-    long lastArrival;                     // of what is under way to this end: pieces never overtake each other
+    long lastArrival; // of what is under way to this end: pieces never overtake each other
     private final ArrayDeque<byte[]> in = new ArrayDeque<>();
     private int inBytes;
     private int onTheWay;
--- a/lab/src/main/java/shelffront/lab/virtual/VirtualChannels.java
+++ b/lab/src/main/java/shelffront/lab/virtual/VirtualChannels.java
@@ -73,7 +73,7 @@
     }
 
     @Override
-    public void shutdown() { }
+    public void shutdown() {}
 
     private static UnsupportedOperationException unused() {
         return new UnsupportedOperationException("not part of the virtual network");
@@ -86,7 +86,7 @@
         private InetSocketAddress remote;
         private Runnable connectDone;
         private Runnable connectFailed;
-        private Runnable read;            // looks whether the read that is out can end
+        private Runnable read; // looks whether the read that is out can end
         private Runnable write;
 
         Channel() {
@@ -363,7 +363,7 @@
             open--;
             net.unlisten(address);
             for (Channel waiting : backlog) {
-                open++;                      // as if accepted: its close gives back what it did not take
+                open++; // as if accepted: its close gives back what it did not take
                 waiting.end.reset();
                 waiting.close();
             }
--- a/lab/src/main/java/shelffront/lab/virtual/VirtualNet.java
+++ b/lab/src/main/java/shelffront/lab/virtual/VirtualNet.java
@@ -21,7 +21,7 @@
      * @param jitter the most that is added, drawn evenly
      * @param chop the part of writes that arrive in several pieces, each later than the one before
      */
-    public record Weather(long latency, long jitter, double chop) { }
+    public record Weather(long latency, long jitter, double chop) {}
 
     private final Clock clock;
     private final UniformRandomProvider random;
@@ -29,7 +29,7 @@
     private Weather weather;
     private int nextPort = 20_000;
 
-    private record Listening(Machine machine, Function<End, Wire.Owner> accept) { }
+    private record Listening(Machine machine, Function<End, Wire.Owner> accept) {}
 
     public VirtualNet(Clock clock, UniformRandomProvider random, Weather weather) {
         this.clock = clock;
@@ -110,7 +110,7 @@
                 if (from.isAway()) {
                     return;
                 }
-                if (end.isOver()) {              // given up meanwhile
+                if (end.isOver()) { // given up meanwhile
                     far.abandoned();
                     return;
                 }
--- a/lab/src/main/java/shelffront/lab/world/Crowd.java
+++ b/lab/src/main/java/shelffront/lab/world/Crowd.java
@@ -17,7 +17,7 @@
 
     private static final int SESSIONS = 200;
     private static final int MOST_RETRIES = 2;
-    private static final long PATIENCE = 100_000;   // Beyond its time a client looks whether an answer comes late.
+    private static final long PATIENCE = 100_000; // Beyond its time a client looks whether an answer comes late.
 
     private final Fleet fleet;
     private final int gateway;
@@ -74,7 +74,7 @@
         ClientTalker<Asked> connection = connections.stream().filter(c -> c.isFree() && c.database().equals(database))
                 .findFirst().orElse(null);
         if (connection == null && !fleet.takesConnections(gateway)) {
-            return;                          // the front sends nobody there any more
+            return; // the front sends nobody there any more
         }
         if (connection == null && connections.size() >= fleet.scenario().means().connections()) {
             fleet.notAsked(type);
--- a/lab/src/main/java/shelffront/lab/world/Deployment.java
+++ b/lab/src/main/java/shelffront/lab/world/Deployment.java
@@ -39,7 +39,9 @@
         return new Deployment(onceWrites, false, false, ReportSource.PROBES, true, ListRole.LATE, false, true, 0.01);
     }
 
-    /** Marks carried, a pushed list with the first roles, reports in every answer, copies, no word when to come back. */
+    /**
+     * Marks carried, a pushed list with the first roles, reports in every answer, copies, no word when to come back.
+     */
     public static Deployment carrying(boolean onceWrites) {
         return new Deployment(onceWrites, true, true, ReportSource.ANSWERS, true, ListRole.AT_START, true, false, 0.07);
     }
@@ -82,7 +84,7 @@
         };
         return new Settings(self, modules, "a", 1000, types(), check, f.patience(), stamped, carried, listRole,
                 !pushed, reports, new Rules(2_000_000, f.coldFrom(), f.coldTime(), f.fall(), f.fallTime(), false,
-                10_000_000, 20_000),
+                        10_000_000, 20_000),
                 new Limits(8, 2_000_000, retryAfter, true, copies, true, false, 250_000, 30_000_000), 0, probePrice);
     }
 }
--- a/lab/src/main/java/shelffront/lab/world/Fleet.java
+++ b/lab/src/main/java/shelffront/lab/world/Fleet.java
@@ -86,7 +86,7 @@
     private static final long BUFFERS = 32L << 20;
 
     /** What a class came to. */
-    public record Worth(long asked, long onTime, long late, long refused, long failed, long unanswered) { }
+    public record Worth(long asked, long onTime, long late, long refused, long failed, long unanswered) {}
 
     /** Windows of a run in which worth is counted, in microseconds. */
     public static final long WINDOW = 250_000;
@@ -100,7 +100,7 @@
      */
     public record Result(List<Auditor.Violation> violations, int violationCount, Map<String, Worth> worth,
             double worthKept, double[] wanted, double[] kept, Histogram latency, long events, long requests,
-            String hash) { }
+            String hash) {}
 
     /** A gateway's process. */
     private final class Process {
@@ -109,8 +109,8 @@
         private final Machine machine;
         private final VirtualChannels channels;
         private final List<Network> networks;
-        private final Gateway gateway;       // null where it is hosted
-        private final Hosted hosted;         // or null
+        private final Gateway gateway; // null where it is hosted
+        private final Hosted hosted; // or null
         private GatewayConfig config;
         private long worked;
         private long skew;
@@ -127,7 +127,8 @@
             try {
                 config = new GatewayConfig("n" + index, gatewayAddresses.get(index), catalogue.address(),
                         random.nextLong(), scenario.means().sockets(), 20_000, scenario.deployment().settings(index,
-                        scenario.gateways() * Math.max(1, scenario.means().tenants()), scenario.figures()), listNow());
+                                scenario.gateways() * Math.max(1, scenario.means().tenants()), scenario.figures()),
+                        listNow());
                 if (scenario.means().tenants() > 0) {
                     hosted = host(log);
                     gateway = null;
@@ -150,10 +151,11 @@
         private Hosted host(Log log) throws IOException, SpecException {
             Means means = scenario.means();
             Hosted made = new Hosted(new HostedConfig(config.listen(), null, null, means.loops(), means.sockets(),
-                    BUFFERS, 0, 4000, List.of()), log, new Ground(() -> scheduler.now() + skew, n -> channels,
-                    config.seed()));
+                    BUFFERS, 0, 4000, List.of()), log,
+                    new Ground(() -> scheduler.now() + skew, n -> channels,
+                            config.seed()));
             for (int i = 0; i < means.tenants(); i++) {
-                made.apply(spec(i, 1, Set.of()), at -> { });
+                made.apply(spec(i, 1, Set.of()), at -> {});
             }
             return made;
         }
@@ -282,7 +284,7 @@
     private final Map<String, long[]> worth = new TreeMap<>();
     private final Set<Integer> disturbed = new HashSet<>();
     private final Set<String> firstPrimaries = new HashSet<>();
-    private long listLateUntil;           // the agents that hold a pushed list may lack its changes
+    private long listLateUntil; // the agents that hold a pushed list may lack its changes
     /** Former primaries, and when each gateway was shown by the box itself: before that no rule binds a read there. */
     private final Map<String, Long> shownAt = new HashMap<>();
     private final Machine rude;
@@ -364,7 +366,7 @@
 
     /** Plays a scenario on the gateway as it is. */
     public static Result play(Scenario scenario) {
-        return play(scenario, Start::asItIs, line -> { });
+        return play(scenario, Start::asItIs, line -> {});
     }
 
     /** Plays a scenario on a gateway that may be a changed one, and tells what happens line by line. */
@@ -376,7 +378,7 @@
 
     private Result run() {
         long from = START + 300_000;
-        until(from);                             // the list is there
+        until(from); // the list is there
         for (int g = 0; g < scenario.gateways(); g++) {
             Machine machine = net.machine("g" + g);
             gatewayMachines.put(machine, g);
@@ -558,12 +560,12 @@
         int tenant = fault.target() / 7 % scenario.means().tenants();
         switch (fault.kind()) {
             case REMOVE_TENANT -> p.hosted.remove(tenantName(tenant), at -> traced("gone", "g" + p.index, "", ""));
-            case CHANGE_TENANT -> p.hosted.apply(p.spec(tenant, 0.1 + fault.target() % 9, Set.of()), at -> { });
-            default -> p.hosted.apply(p.spec(tenant, 1, Set.of(box(fault.target()).id())), at -> { });
+            case CHANGE_TENANT -> p.hosted.apply(p.spec(tenant, 0.1 + fault.target() % 9, Set.of()), at -> {});
+            default -> p.hosted.apply(p.spec(tenant, 1, Set.of(box(fault.target()).id())), at -> {});
         }
         scheduler.after(Math.min(1_500_000, fault.time()), () -> {
             if (!p.dead && !p.stopping) {
-                p.hosted.apply(p.spec(tenant, 1, Set.of()), at -> { });
+                p.hosted.apply(p.spec(tenant, 1, Set.of()), at -> {});
             }
         });
     }
@@ -620,7 +622,7 @@
         catalogue.change(line(box, phase), delay);
         if (scenario.deployment().pushed() && scenario.means().tenants() == 0) {
             scheduler.after(delay + PUSHED_AFTER, () -> {
-                boolean back = box.isUp() && !box.isDraining();      // the list may say so already
+                boolean back = box.isUp() && !box.isDraining(); // the list may say so already
                 if (!back && scheduler.now() > listLateUntil && boxes.get(box.id()) == box) {
                     processes.stream().filter(p -> !p.dead)
                             .forEach(p -> auditor.drainTold(p.index, box.id(), scheduler.now()));
@@ -870,7 +872,7 @@
         @Override
         public Consumer<Answer> arrived(Box box, Wire from, Query query) {
             if (strangers && auditor.gatewayOf(query.id()) < 0) {
-                return answer -> { };        // of a client that does not keep to the protocol
+                return answer -> {}; // of a client that does not keep to the protocol
             }
             End gateway = ((End) from).other();
             Auditor.Try attempt = auditor.arrives(query.id(), box.id(), scheduler.now(), gateway.writtenAt(),
--- a/lab/src/main/java/shelffront/lab/world/RudeTalker.java
+++ b/lab/src/main/java/shelffront/lab/world/RudeTalker.java
@@ -29,13 +29,13 @@
                 send(startup);
                 send(cut(query, random));
             }
-            case 4 -> {                       // a length that does not fit
+            case 4 -> { // a length that does not fit
                 send(startup);
                 byte[] wrong = query.clone();
                 wrong[1 + random.nextInt(4)] ^= (byte) (1 << random.nextInt(8));
                 send(wrong);
             }
-            case 5 -> {                       // a byte somewhere
+            case 5 -> { // a byte somewhere
                 send(startup);
                 byte[] wrong = query.clone();
                 wrong[random.nextInt(wrong.length)] ^= (byte) (1 + random.nextInt(255));
@@ -65,5 +65,5 @@
     }
 
     @Override
-    protected void ended(boolean reset) { }
+    protected void ended(boolean reset) {}
 }
--- a/lab/src/main/java/shelffront/lab/world/Shrinker.java
+++ b/lab/src/main/java/shelffront/lab/world/Shrinker.java
@@ -23,14 +23,16 @@
         /** The command that plays it. */
         public String command(long seed) {
             return String.format(Locale.ROOT, "java -jar lab/target/shelffront-lab.jar replay %d --faults %s --rate %s"
-                    + " --seconds %s", seed, faults.isEmpty() ? "none" : String.join(",", faults.stream()
-                    .map(String::valueOf).toList()), rate, length / 1e6);
+                    + " --seconds %s", seed,
+                    faults.isEmpty() ? "none" : String.join(",", faults.stream()
+                            .map(String::valueOf).toList()),
+                    rate, length / 1e6);
         }
     }
 
     private static final int MOST_PLAYS = 60;
 
-    private Shrinker() { }
+    private Shrinker() {}
 
     /** All of a seed's scenario. */
     public static Cut whole(long seed) {
--- a/lab/src/test/java/shelffront/lab/HostedLoopsTest.java
+++ b/lab/src/test/java/shelffront/lab/HostedLoopsTest.java
@@ -20,7 +20,9 @@
 import shelffront.pg.Message;
 import shelffront.tenant.Keys;
 
-/** All that holds of one event loop, on three; and what only several have: connections handed over, tenants that move. */
+/**
+ * All that holds of one event loop, on three; and what only several have: connections handed over, tenants that move.
+ */
 class HostedLoopsTest extends HostedTenantsTest {
 
     @Override
@@ -115,7 +117,7 @@
         StandInSet set = boxes("s", 1, 1);
         start(three(set));
         byte[] startup = Message.startup("api", "c");
-        for (int i = 0; i < 1200; i++) {                     // more than the listener has places for at a time
+        for (int i = 0; i < 1200; i++) { // more than the listener has places for at a time
             Socket socket = new Socket(InetAddress.getLoopbackAddress(), hosted.address().getPort());
             socket.getOutputStream().write(startup);
             if (i % 3 == 0) {
@@ -204,8 +206,8 @@
     }
 
     /**
-     * Removed while clients of it are on their way between loops: each is served or told, and none stays. Who comes later is asked
-     * for a password, as whoever names what nobody has, and its query is none.
+     * Removed while clients of it are on their way between loops: each is served or told, and none stays. Who comes
+     * later is asked for a password, as whoever names what nobody has, and its query is none.
      */
     @Test
     void removalMeetsHandOvers() throws Exception {
@@ -233,7 +235,8 @@
         Hosted.Held held = hosted.held().get(MISSING_MS, TimeUnit.MILLISECONDS);
         assertEquals(held.counters().get(Counters.Name.REQUESTS_TAKEN),
                 held.counters().get(Counters.Name.ANSWERS_SERVED) + held.counters().get(Counters.Name.ANSWERS_REFUSED)
-                + held.counters().get(Counters.Name.ANSWERS_FAILED) + held.counters().get(Counters.Name.REQUESTS_LEFT));
+                        + held.counters().get(Counters.Name.ANSWERS_FAILED)
+                        + held.counters().get(Counters.Name.REQUESTS_LEFT));
         assertEquals(0, held.counters().get(Counters.Name.FAULTS));
     }
 }
--- a/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
+++ b/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
@@ -51,7 +51,7 @@
         for (ObjectNode tenant : tenants) {
             list.add(tenant);
         }
-        hosted = new Hosted(HostedConfig.read(config), line -> { });
+        hosted = new Hosted(HostedConfig.read(config), line -> {});
         turns = hosted.start();
     }
 
@@ -201,12 +201,12 @@
         assertEquals(List.of("57P03"), calm.answers());
         for (Client client : List.of(read, write, half, calm)) {
             while (!client.next().isEmpty()) {
-                continue;                        // to the end of the connection
+                continue; // to the end of the connection
             }
         }
         assertNull(hosted.usage("airport").get(MISSING_MS, TimeUnit.MILLISECONDS));
         for (Client client : List.of(read, write, half, calm)) {
-            client.close();                      // the gateway lingers until its clients have closed too
+            client.close(); // the gateway lingers until its clients have closed too
         }
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MISSING_MS);
         Hosted.Held held = hosted.held().get(MISSING_MS, TimeUnit.MILLISECONDS);
@@ -410,7 +410,7 @@
         assertEquals(List.of("r1"), client.answers());
         String refusal = null;
         for (String[] wrong : new String[][] {{"one", theirs}, {"one", ours.substring(1)}, {"one", ""},
-            {"other", ours}, {"nobody", ours}, {"", ours}}) {
+                {"other", ours}, {"nobody", ours}, {"", ours}}) {
             String answer = new Client(wrong[0], wrong[1]).next();
             assertTrue(refusal == null || answer.equals(refusal), answer);
             refusal = answer;
--- a/lab/src/test/java/shelffront/lab/load/LoadTest.java
+++ b/lab/src/test/java/shelffront/lab/load/LoadTest.java
@@ -75,7 +75,7 @@
         }
 
         @Override
-        protected void ended(boolean reset) { }
+        protected void ended(boolean reset) {}
     }
 
     private Load.Result play(Load.Habits habits, double perSecond, int connections) {
--- a/lab/src/test/java/shelffront/lab/world/FleetSizeTest.java
+++ b/lab/src/test/java/shelffront/lab/world/FleetSizeTest.java
@@ -25,14 +25,14 @@
     private static final int GATEWAYS = 100;
 
     /** What all gateways of a run sent and opened. */
-    private record Cost(Fleet.Result result, long probes, long connections) { }
+    private record Cost(Fleet.Result result, long probes, long connections) {}
 
     private static Cost cost(Scenario scenario, Function<Fleet.Start, Gateway> made) {
         List<Network> networks = new ArrayList<>();
         Fleet.Result result = Fleet.play(scenario, start -> {
             networks.add(start.network());
             return made.apply(start);
-        }, line -> { });
+        }, line -> {});
         return new Cost(result, count(networks, Counters.Name.PROBES_SENT),
                 count(networks, Counters.Name.HOST_CONNECTIONS_OPENED));
     }
@@ -48,7 +48,8 @@
         return start.with(new GatewayConfig(c.name(), c.listen(), c.discovery(), c.seed(), c.sockets(), c.openCap(),
                 new Settings(0, 1, s.zone(), s.tick(), s.classes(), s.check(), s.hold(), s.answersStamped(),
                         s.tokensCarried(), s.listRole(), s.listAsked(), s.reports(), s.rules(), s.limits(),
-                        s.crossZonePrice(), s.probePrice()), c.known()));
+                        s.crossZonePrice(), s.probePrice()),
+                c.known()));
     }
 
     /** Two sets of six hosts, ten requests a second at each gateway. */
--- a/lab/src/test/java/shelffront/lab/world/FleetTest.java
+++ b/lab/src/test/java/shelffront/lab/world/FleetTest.java
@@ -110,7 +110,8 @@
         Figures figures = new Figures(4, 60, 400, 5_000, 8_000, 0.5, 1_000, 20_000, 300, 0.21, 18 * SECOND, SECOND,
                 SECOND / 2, 2 * SECOND, Figures.Check.WAIT, 50_000, 1.5, 2 * SECOND, false);
         Scenario day = new Scenario(8, 4, 1, 3, 900, 10 * SECOND, figures, new Weather(300, 700, 0.1),
-                SECOND / 2, Deployment.plain(false), Means.PLAIN, List.of(new Fault(2 * SECOND, FaultKind.KILL_BOX, 1, SECOND / 4),
+                SECOND / 2, Deployment.plain(false), Means.PLAIN,
+                List.of(new Fault(2 * SECOND, FaultKind.KILL_BOX, 1, SECOND / 4),
                         new Fault(6 * SECOND, FaultKind.KILL_BOX, 2, SECOND / 4)));
         Fleet.Result result = Fleet.play(day);
         assertEquals(List.of(), result.violations());
@@ -196,7 +197,7 @@
     @Test
     void administrationUnderLoadBreaksNoRule() {
         FaultKind[] kinds = {FaultKind.REMOVE_TENANT, FaultKind.CHANGE_TENANT, FaultKind.DRAIN_BY_TENANT,
-            FaultKind.KILL_BOX, FaultKind.GARBAGE};
+                FaultKind.KILL_BOX, FaultKind.GARBAGE};
         Fault[] faults = new Fault[30];
         for (int i = 0; i < faults.length; i++) {
             faults[i] = new Fault(SECOND + i * SECOND / 6, kinds[i % kinds.length], i * 5, SECOND / 2);
--- a/lab/src/test/java/shelffront/lab/world/PlantedFaultsTest.java
+++ b/lab/src/test/java/shelffront/lab/world/PlantedFaultsTest.java
@@ -55,7 +55,7 @@
     /** Plays a day on the whole gateway and on a broken one: only the broken one is caught, by this rule. */
     private static void caught(Rule rule, Scenario scenario, Function<Fleet.Start, Gateway> broken) {
         assertEquals(List.of(), Fleet.play(scenario).violations(), "the whole gateway on the same day");
-        List<Violation> found = Fleet.play(scenario, broken, line -> { }).violations();
+        List<Violation> found = Fleet.play(scenario, broken, line -> {}).violations();
         assertTrue(found.stream().anyMatch(v -> v.rule() == rule), rule + " was not caught: " + found);
     }
 
@@ -95,20 +95,20 @@
     @Test
     void readsFromCopiesThatAreTooOld() {
         // Writes come faster than a replica can apply them.
-        caught(Rule.FRESH, scenario(Figures.Check.SILENT, 4, 12_000, 500), s -> told(s, t -> types(t, c ->
-                c.read() == Read.BOUNDED ? as(c, c.effect(), 0, Read.BOUNDED, 60 * SECOND) : c)));
+        caught(Rule.FRESH, scenario(Figures.Check.SILENT, 4, 12_000, 500), s -> told(s,
+                t -> types(t, c -> c.read() == Read.BOUNDED ? as(c, c.effect(), 0, Read.BOUNDED, 60 * SECOND) : c)));
     }
 
     @Test
     void currentReadsFromReplicas() {
-        caught(Rule.FRESH, scenario(Figures.Check.SILENT, 100), s -> told(s, t -> types(t, c ->
-                c.read() == Read.FRESH ? as(c, c.effect(), 0, Read.ANY, 0) : c)));
+        caught(Rule.FRESH, scenario(Figures.Check.SILENT, 100),
+                s -> told(s, t -> types(t, c -> c.read() == Read.FRESH ? as(c, c.effect(), 0, Read.ANY, 0) : c)));
     }
 
     @Test
     void sessionsThatDoNotSeeTheirWrites() {
-        caught(Rule.OWN_WRITES, scenario(Figures.Check.SILENT, 300), s -> told(s, t -> types(t, c ->
-                c.read() == Read.SESSION ? as(c, c.effect(), 0, Read.ANY, 0) : c)));
+        caught(Rule.OWN_WRITES, scenario(Figures.Check.SILENT, 300),
+                s -> told(s, t -> types(t, c -> c.read() == Read.SESSION ? as(c, c.effect(), 0, Read.ANY, 0) : c)));
     }
 
     private static Scenario carrying(Figures.Check check, double perSecond, Fault... faults) {
@@ -117,7 +117,8 @@
 
     @Test
     void carriedMarksThatAreNotRead() {
-        caught(Rule.OWN_WRITES, carrying(Figures.Check.SILENT, 300), s -> tampered(s, null, null, ",after=", ",aftex="));
+        caught(Rule.OWN_WRITES, carrying(Figures.Check.SILENT, 300),
+                s -> tampered(s, null, null, ",after=", ",aftex="));
     }
 
     @Test
@@ -144,25 +145,26 @@
         Fault[] faults = {fault(1, FaultKind.KILL_BOX, 1, 0.2)};
         caught(Rule.COLD, scenario(Figures.Check.WAIT, 0.6, 900, faults), s -> told(s, t -> with(t,
                 t.classes(), t.check(), new Rules(t.rules().drainGrace(), 1, 0, 100, t.rules().fallTime(), false,
-                        t.rules().askWithin(), t.rules().answerSlack()), t.limits())));
+                        t.rules().askWithin(), t.rules().answerSlack()),
+                t.limits())));
     }
 
     @Test
     void writesThatRunOnceSentAgain() {
         Fault[] faults = {fault(2, FaultKind.RESET_BOX, 0, 1), fault(3, FaultKind.RESET_BOX, 0, 1),
-            fault(4, FaultKind.SPOIL_BOX, 0, 4)};
-        caught(Rule.CLASS_PERMITS, scenario(Figures.Check.WAIT, 500, faults), s -> told(s, t -> types(t, c ->
-                c.effect() == Effect.ONCE ? as(c, Effect.REPEATABLE, 0, Read.WRITE, 0) : c)));
+                fault(4, FaultKind.SPOIL_BOX, 0, 4)};
+        caught(Rule.CLASS_PERMITS, scenario(Figures.Check.WAIT, 500, faults), s -> told(s,
+                t -> types(t, c -> c.effect() == Effect.ONCE ? as(c, Effect.REPEATABLE, 0, Read.WRITE, 0) : c)));
         caught(Rule.NO_DOUBLE_EFFECT, scenario(Figures.Check.WAIT, 500, faults), s -> {
-                    // A key that is another each time it is sent.
-                    int[] sent = {0};
-                    s.channels().tamper(b -> {
-                        String text = new String(b, ISO_8859_1);
-                        return text.contains("INSERT") ? text.replaceFirst("k=kg", "k=k" + (char) ('h' + sent[0]++ % 9))
-                                .getBytes(ISO_8859_1) : b;
-                    }, b -> b);
-                    return s.asItIs();
-                });
+            // A key that is another each time it is sent.
+            int[] sent = {0};
+            s.channels().tamper(b -> {
+                String text = new String(b, ISO_8859_1);
+                return text.contains("INSERT") ? text.replaceFirst("k=kg", "k=k" + (char) ('h' + sent[0]++ % 9))
+                        .getBytes(ISO_8859_1) : b;
+            }, b -> b);
+            return s.asItIs();
+        });
     }
 
     @Test
@@ -170,13 +172,13 @@
         // The primary dies with writes in it. The next one must be there after their window and before their clients
         // give up, which not every seed gives.
         Fault[] faults = {fault(2, FaultKind.SLOW_BOX, 18, 1), fault(2.2, FaultKind.KILL_PRIMARY, 0, 1)};
-        Function<Fleet.Start, Gateway> broken = s -> told(s, t -> types(t, c ->
-                c.effect() == Effect.KEYED ? as(c, Effect.KEYED, 10 * SECOND, Read.WRITE, 0) : c));
+        Function<Fleet.Start, Gateway> broken = s -> told(s,
+                t -> types(t, c -> c.effect() == Effect.KEYED ? as(c, Effect.KEYED, 10 * SECOND, Read.WRITE, 0) : c));
         int found = 0;
         for (int seed = 1; seed <= 12; seed++) {
             Scenario day = scenario(Figures.Check.WAIT, 300, faults).of(seed);
             assertEquals(List.of(), Fleet.play(day).violations(), "the whole gateway on seed " + seed);
-            found += (int) Fleet.play(day, broken, line -> { }).violations().stream()
+            found += (int) Fleet.play(day, broken, line -> {}).violations().stream()
                     .filter(v -> v.rule() == Rule.CLASS_PERMITS).count();
         }
         assertTrue(found > 0, "caught on none of the seeds");
