--- a/lab/src/main/java/shelffront/lab/standin/StandInSet.java
+++ b/lab/src/main/java/shelffront/lab/standin/StandInSet.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
