Distribute a fleet's tenants: engine, distributors, and gateways that follow what they serve

Change: gateway/fleetconfig. ChangeStore writes record, log entry and head in one transaction of the engine; EngineFollower watches the head alone; Distributor and DistributionServer (the `distribute` command) answer long polls, which hold no thread; Subscriber follows one distributor at a time; FleetRecords keeps a gateway's view, looks names up once however many clients wait, remembers unknown ones, keeps the last known good. A client's connection waits for its tenant's lookup without holding up the loop. With `distribution` in the settings the administration writes through the engine. Engine and its errors have a package of their own now (shelffront.engine), and AdminServer's calls about the fleet a class (FleetCalls). The stand-in engine has transactions, counts calls, and can be restored.

--- a/gateway/src/main/java/shelffront/admin/AdminServer.java
+++ b/gateway/src/main/java/shelffront/admin/AdminServer.java
@@ -20,9 +20,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import shelffront.admin.Tokens.Caller;
+import shelffront.engine.OperatorException;
 import shelffront.net.Log;
 import shelffront.stages.StageException;
-import shelffront.stages.Stages;
 import shelffront.store.Store;
 import shelffront.store.Store.Audit;
 import shelffront.store.Store.ConflictException;
@@ -51,13 +51,6 @@
     private static final String MOST_SECONDS = "10";
     private static final String NAME = "[a-zA-Z0-9][a-zA-Z0-9_.-]{0,63}";
 
-    private record Answer(int status, JsonNode body, Map<String, String> headers) {
-
-        static Answer of(int status, JsonNode body) {
-            return new Answer(status, body, Map.of());
-        }
-    }
-
     /** An answer that a POST with an Idempotency-Key had, and what it was asked. */
     private record Kept(String asked, Answer answer) {}
 
@@ -66,14 +59,13 @@
     private final Store store;
     private final Tenancy tenancy;
     private final Tokens tokens;
-    private final Stages stages;
+    private final FleetCalls fleet;
     private final Log log;
     private final Semaphore polls = new Semaphore(MOST_POLLS);
     private final Map<String, Integer> pollsOf = new ConcurrentHashMap<>(); // those that wait, by token
     private final Map<String, Kept> kept = new LinkedHashMap<>();
 
-    /** The stages are null where the gateway is on its own. */
-    public AdminServer(InetSocketAddress listen, Store store, Tenancy tenancy, Tokens tokens, Stages stages, Log log)
+    public AdminServer(InetSocketAddress listen, Store store, Tenancy tenancy, Tokens tokens, FleetCalls fleet, Log log)
             throws IOException {
         System.setProperty("sun.net.httpserver.maxReqTime", MOST_SECONDS);
         System.setProperty("sun.net.httpserver.maxRspTime", "90");
@@ -81,7 +73,7 @@
         this.store = store;
         this.tenancy = tenancy;
         this.tokens = tokens;
-        this.stages = stages;
+        this.fleet = fleet;
         this.log = log;
         server = HttpServer.create(listen, 64);
         threads = new ThreadPoolExecutor(THREADS, THREADS, 60, TimeUnit.SECONDS, new ArrayBlockingQueue<>(WAITING),
@@ -218,14 +210,18 @@
                 }
                 case "subjects" -> {
                     operator(caller);
-                    return subjects(method, parts, body);
+                    return fleet.subjects(method, parts, body);
+                }
+                case "distribution" -> {
+                    operator(caller);
+                    return fleet.distribution(method, parts);
                 }
                 default -> throw Problem.notFound();
             }
-        } catch (StageException e) {
-            int status = e instanceof StageException.EngineException ? 503
-                    : e instanceof StageException.Contended ? 409
-                            : e instanceof StageException.UnknownSubject ? 404 : 422;
+        } catch (OperatorException e) {
+            int status = e instanceof StageException.Contended ? 409
+                    : e instanceof StageException.UnknownSubject ? 404
+                            : e instanceof StageException ? 422 : 503;
             throw new Problem(status, e.code(), e.getMessage() + ". " + e.advice());
         } catch (SpecException e) {
             throw Problem.invalid(e);
@@ -236,35 +232,10 @@
         }
     }
 
-    /** What the fleet changes stage by stage: shown, and sent to another stage. */
-    private Answer subjects(String method, String[] parts, byte[] body)
-            throws Problem, SpecException, StageException {
-        if (stages == null || parts.length > 4) {
-            throw Problem.notFound();
-        }
-        if (parts.length == 4 && method.equals("PUT")) {
-            JsonNode target = SpecJson.parse(body).path("target");
-            if (!target.isTextual()) {
-                throw new Problem(422, "Not a valid document", "a stage is needed", "/target", null);
-            }
-            stages.target(parts[3], target.asText());
-        } else {
-            only(method, "GET");
-        }
-        ArrayNode list = SpecJson.JSON.createArrayNode();
-        for (Stages.Shown s : stages.show(parts.length == 4 ? parts[3] : null)) {
-            ArrayNode waits = list.addObject().put("subject", s.subject()).put("stage", s.stage())
-                    .put("target", s.target()).put("epoch", s.epoch()).put("inForceHere", s.inForceHere())
-                    .put("owner", s.owner()).putArray("waitsFor");
-            s.waitsFor().forEach(waits::add);
-        }
-        return Answer.of(200, SpecJson.JSON.createObjectNode().set("subjects", list));
-    }
-
     // ---- Tenants ----------------------------------------------------------------------------------------------
 
     private Answer tenants(Caller caller, String method, byte[] body)
-            throws Problem, SpecException, ConflictException {
+            throws Problem, SpecException, ConflictException, OperatorException {
         if (method.equals("POST")) {
             operator(caller);
             JsonNode document = SpecJson.parse(body);
@@ -277,13 +248,13 @@
         only(method, "GET");
         ArrayNode list = SpecJson.JSON.createArrayNode();
         tenancy.all().stream().filter(e -> caller.sees(e.name())).forEach(e -> list.add(shown(e)));
-        ObjectNode answer = SpecJson.JSON.createObjectNode().put("revision", store.revision());
+        ObjectNode answer = SpecJson.JSON.createObjectNode().put("revision", tenancy.revision());
         answer.set("tenants", list);
         return Answer.of(200, answer);
     }
 
     private Answer tenant(HttpExchange exchange, Caller caller, String method, String[] parts, byte[] body)
-            throws Problem, SpecException, ConflictException, InterruptedException {
+            throws Problem, SpecException, ConflictException, OperatorException, InterruptedException {
         String id = parts[3];
         Entry entry = tenancy.get(id);
         boolean create = method.equals("PUT") && parts.length == 4 && caller.isOperator();
@@ -336,7 +307,7 @@
 
     /** Clients' keys: listed by their names, made here and shown once, ended. */
     private Answer keys(Entry entry, Caller caller, String method, String[] parts, byte[] body)
-            throws Problem, SpecException, ConflictException {
+            throws Problem, SpecException, ConflictException, OperatorException {
         if (parts.length == 6) {
             only(method, "DELETE");
             long revision = tenancy.endKey(entry.name(), parts[5], caller.token());
@@ -489,7 +460,7 @@
     }
 
     private Answer token(Caller caller, String method, String[] parts, byte[] body)
-            throws Problem, SpecException, ConflictException {
+            throws Problem, SpecException, ConflictException, OperatorException {
         operator(caller);
         if (parts.length == 3 && method.equals("POST")) {
             JsonNode asked = SpecJson.parse(body);
@@ -529,13 +500,13 @@
         }
     }
 
-    private static void only(String method, String allowed) throws Problem {
+    static void only(String method, String allowed) throws Problem {
         if (!method.equals(allowed)) {
             throw noMethod();
         }
     }
 
-    private static Problem noMethod() {
+    static Problem noMethod() {
         return new Problem(405, "Method not allowed", "this path does not take this method");
     }
 
--- a/gateway/src/main/java/shelffront/admin/Tenancy.java
+++ b/gateway/src/main/java/shelffront/admin/Tenancy.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
+import shelffront.engine.OperatorException;
 import shelffront.store.Store;
 import shelffront.store.Store.Audit;
 import shelffront.store.Store.ConflictException;
@@ -42,7 +43,7 @@
 
     private static final int REMEMBERED = 10_000; // Changes whose time in force is known.
 
-    private final Store store;
+    private final TenantRecords records;
     private final Control control;
     private final LongSupplier clock;
     private final Map<Long, Long> inForce = new LinkedHashMap<>();
@@ -51,52 +52,69 @@
 
     /** The clock gives Unix milliseconds. */
     public Tenancy(Store store, Control control, LongSupplier clock) {
-        this.store = store;
+        this(TenantRecords.in(store), control, clock);
+    }
+
+    /** Of a gateway whose tenants may be those of a whole fleet. */
+    public Tenancy(TenantRecords records, Control control, LongSupplier clock) {
+        this.records = records;
         this.control = control;
         this.clock = clock;
     }
 
-    /** Puts all tenants of the store into the gateway, at its start. */
-    public void start() throws SpecException {
-        startedAt = store.revision();
+    /** Puts all tenants of the gateway's own records into it, at its start. */
+    public void start() throws SpecException, OperatorException {
+        startedAt = records.revision();
         startTime = clock.getAsLong();
-        for (Entry entry : store.all(Kind.TENANT)) {
-            control.apply(SpecJson.read(entry.document()), at -> {});
+        if (records.isPutInForceByCaller()) {
+            for (Entry entry : records.all()) {
+                control.apply(SpecJson.read(entry.document()), at -> {});
+            }
         }
     }
 
-    public Entry get(String id) {
-        return store.get(Kind.TENANT, id);
+    /** The newest revision that this gateway knows of. */
+    public long revision() {
+        return records.revision();
     }
 
-    public List<Entry> all() {
-        return store.all(Kind.TENANT);
+    public Entry get(String id) throws OperatorException {
+        return records.get(id);
+    }
+
+    public List<Entry> all() throws OperatorException {
+        return records.all();
     }
 
     /** Puts a tenant in place of the one at a revision, 0 for none; gives the new revision. */
     public long put(String id, long expected, JsonNode document, String who, String what)
-            throws SpecException, ConflictException {
+            throws SpecException, ConflictException, OperatorException {
         TenantSpec spec = SpecJson.read(document);
         if (!spec.id().equals(id)) {
             throw new SpecException("/id", "is not the name in the path");
         }
         synchronized (this) { // the gateway is told in the order of revisions
-            long revision = store.put(Kind.TENANT, id, expected, document, who, what, clock.getAsLong());
-            control.apply(spec, at -> nowInForce(revision, at));
+            long revision = records.put(id, expected, document, who, what, clock.getAsLong());
+            if (records.isPutInForceByCaller()) {
+                control.apply(spec, at -> nowInForce(revision, at));
+            }
             return revision;
         }
     }
 
-    public long remove(String id, long expected, String who) throws ConflictException {
+    public long remove(String id, long expected, String who) throws ConflictException, OperatorException {
         synchronized (this) {
-            long revision = store.put(Kind.TENANT, id, expected, null, who, "remove", clock.getAsLong());
-            control.remove(id, at -> nowInForce(revision, at));
+            long revision = records.put(id, expected, null, who, "remove", clock.getAsLong());
+            if (records.isPutInForceByCaller()) {
+                control.remove(id, at -> nowInForce(revision, at));
+            }
             return revision;
         }
     }
 
     /** Drains a box of a tenant or ends its drain; gives the tenant's revision, 0 where there is no such tenant. */
-    public long drain(String id, String box, boolean on, String who) throws SpecException, ConflictException {
+    public long drain(String id, String box, boolean on, String who)
+            throws SpecException, ConflictException, OperatorException {
         synchronized (this) {
             Entry entry = get(id);
             if (entry == null) {
@@ -118,7 +136,8 @@
     public record NewKey(String id, String key, long revision) {}
 
     /** Makes a key for a user of a tenant; those that the user has stay. Null where there is no such tenant. */
-    public NewKey newKey(String tenant, String user, String who) throws SpecException, ConflictException {
+    public NewKey newKey(String tenant, String user, String who)
+            throws SpecException, ConflictException, OperatorException {
         synchronized (this) {
             Entry entry = get(tenant);
             if (entry == null) {
@@ -134,7 +153,8 @@
     }
 
     /** Ends a key; gives the tenant's revision, 0 where there is no such tenant or key. */
-    public long endKey(String tenant, String key, String who) throws SpecException, ConflictException {
+    public long endKey(String tenant, String key, String who)
+            throws SpecException, ConflictException, OperatorException {
         synchronized (this) {
             Entry entry = get(tenant);
             ObjectNode next = entry == null ? null : entry.document().deepCopy();
@@ -166,6 +186,16 @@
         return control.usage(id);
     }
 
+    /** Every change up to a revision is in force here, where changes come back distributed. */
+    public void reached(long revision) {
+        long at = clock.getAsLong() * 1000;
+        for (Audit made : records.audits(0, REMEMBERED)) {
+            if (made.revision() <= revision && inForceAt(made.revision()) == 0) {
+                nowInForce(made.revision(), at);
+            }
+        }
+    }
+
     private void nowInForce(long revision, long atMicros) {
         synchronized (inForce) {
             inForce.put(revision, atMicros / 1000);
@@ -184,7 +214,7 @@
         long until = System.nanoTime() + waitMillis * 1_000_000;
         synchronized (inForce) {
             while (true) {
-                List<Audit> found = store.audits(after, 1000).stream().filter(a -> a.kind() == Kind.TENANT
+                List<Audit> found = records.audits(after, 1000).stream().filter(a -> a.kind() == Kind.TENANT
                         && (onlyTenant == null || a.name().equals(onlyTenant))).toList();
                 long left = (until - System.nanoTime()) / 1_000_000;
                 if (left <= 0 || found.stream().anyMatch(a -> inForceAt(a.revision()) > 0)) {
--- a/gateway/src/main/java/shelffront/cli/Cli.java
+++ b/gateway/src/main/java/shelffront/cli/Cli.java
@@ -28,6 +28,8 @@
 import picocli.CommandLine.ScopeType;
 import picocli.CommandLine.Spec;
 import shelffront.admin.Tokens;
+import shelffront.engine.OperatorException;
+import shelffront.fleetconfig.DistributorRole;
 import shelffront.gateway.ReloadSignal;
 import shelffront.hosted.Hosted;
 import shelffront.hosted.HostedConfig;
@@ -46,7 +48,7 @@
  */
 @Command(name = "shelffront", mixinStandardHelpOptions = true, version = "shelffront 0.2.0",
         description = "A gateway that routes reads and writes of replicated databases.",
-        subcommands = {Cli.Serve.class, Cli.Benchlink.class, Cli.Rehearse.class, Cli.Config.class,
+        subcommands = {Cli.Serve.class, Cli.Distribute.class, Cli.Benchlink.class, Cli.Rehearse.class, Cli.Config.class,
                 Cli.TenantCommand.class,
                 Cli.TokenCommand.class, Cli.KeyCommand.class, Cli.StoreCommand.class,
                 GenerateCompletion.class})
@@ -136,12 +138,38 @@
         private void reload(Hosted hosted, Log log) {
             try {
                 log.println("read " + file + " anew, " + hosted.seed(config(file)) + " tenants put in");
-            } catch (Failure | SpecException | ConflictException | RuntimeException e) {
+            } catch (Failure | SpecException | ConflictException | OperatorException | RuntimeException e) {
                 log.println("reload failed, what was in force stays: " + e.getMessage());
             }
         }
     }
 
+    /** Runs a distributor of a fleet's configuration. */
+    @Command(name = "distribute", mixinStandardHelpOptions = true,
+            description = "Follows a fleet's engine, or other distributors, and serves gateways what they follow.")
+    static final class Distribute implements Callable<Integer> {
+
+        @Option(names = "--config", required = true, paramLabel = "FILE", description = "Jsonnet or JSON")
+        private Path file;
+
+        @Override
+        public Integer call() throws Exception {
+            QueuedLog lines = new QueuedLog(new PrintStream(new FileOutputStream(FileDescriptor.out)));
+            Log log = Logs.open(false, lines);
+            try (DistributorRole role = DistributorRole.read(Templates.evaluate(file), log)) {
+                CountDownLatch stopped = new CountDownLatch(1);
+                Runtime.getRuntime().addShutdownHook(new Thread(stopped::countDown, "stop"));
+                role.start();
+                log.println("distributes on " + role.address());
+                stopped.await();
+                lines.close(2000);
+            } catch (SpecException e) {
+                throw new Failure(file + ": " + e.pointer() + " " + e.getMessage());
+            }
+            return 0;
+        }
+    }
+
     /** Stands in the help; without options it is started without this class. */
     abstract static class WithoutOptions implements Callable<Integer> {
 
--- a/gateway/src/main/java/shelffront/client/ClientConnection.java
+++ b/gateway/src/main/java/shelffront/client/ClientConnection.java
@@ -54,6 +54,8 @@
     private Clients.Taker taker; // who serves it, once that is known
     private boolean started;
     private boolean named; // the startup message has come, and it is where its tenant lives
+    private boolean lookingUp; // who serves it is being found out
+    private boolean found; // that has been found out, and it has not entered yet
     private boolean asked; // a whole command has come
     private boolean half; // part of a command has come
     private boolean skipToSync;
@@ -141,7 +143,7 @@
 
     @Override
     protected boolean wantsInput() {
-        return unreadable == null && waiting.size() < MOST_WAITING && waitingBytes < GREATEST_WAITING;
+        return unreadable == null && !lookingUp && waiting.size() < MOST_WAITING && waitingBytes < GREATEST_WAITING;
     }
 
     @Override
@@ -202,6 +204,9 @@
         if (named) {
             return admitted();
         }
+        if (found) {
+            return enter();
+        }
         Message message = Message.nextStartup(bytes);
         if (message == null || isClosed()) {
             return false;
@@ -217,18 +222,36 @@
                     throw new ProtocolException("0A000", "only version 3 of the protocol is spoken here");
                 }
                 startup = message.startupParameters();
-                home = clients.door.home(startup, clients);
-                named = true;
-                if (home == clients) {
-                    return admitted();
-                }
-                moveTo(home.network, this::arrive);
-                return false;
+                lookingUp = clients.door.lookUp(startup, clients, this::found);
+                return !lookingUp && enter();
             }
         }
         return true;
     }
 
+    /** Who serves it is known now: what has come meanwhile is looked at. */
+    private void found(ProtocolException failure) {
+        lookingUp = false;
+        if (failure != null) {
+            unreadable(failure, CloseReason.NO_TENANT);
+            work();
+            return;
+        }
+        found = true;
+        offerAgain();
+    }
+
+    private boolean enter() throws ProtocolException {
+        found = false;
+        home = clients.door.home(startup, clients);
+        named = true;
+        if (home == clients) {
+            return admitted();
+        }
+        moveTo(home.network, this::arrive);
+        return false;
+    }
+
     private boolean admitted() throws ProtocolException {
         asksPassword = clients.door.asksPassword(startup);
         if (asksPassword) {
--- a/gateway/src/main/java/shelffront/client/Clients.java
+++ b/gateway/src/main/java/shelffront/client/Clients.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import shelffront.route.Router.ClassSettings;
 import shelffront.exchange.Exchange;
 import shelffront.net.CloseReason;
@@ -24,6 +25,14 @@
     /** Finds who serves a client. */
     public interface Door {
 
+        /**
+         * Finds out who serves a client, where that takes time: {@code then} runs later on the loop of these clients,
+         * with null or with what the client is told. False, and nothing runs later, where it is known already.
+         */
+        default boolean lookUp(Map<String, String> startup, Clients here, Consumer<ProtocolException> then) {
+            return false;
+        }
+
         /** Who serves a client on the loop where its tenant lives; by default those where it came in. */
         default Clients home(Map<String, String> startup, Clients here) {
             return here;
--- a/gateway/src/main/java/shelffront/engine/ConsulEngine.java
+++ b/gateway/src/main/java/shelffront/engine/ConsulEngine.java
@@ -1,4 +1,4 @@
-package shelffront.stages;
+package shelffront.engine;
 
 import com.google.common.net.HostAndPort;
 import java.math.BigInteger;
@@ -10,14 +10,17 @@
 import org.kiwiproject.consul.ConsulException;
 import org.kiwiproject.consul.KeyValueClient;
 import org.kiwiproject.consul.model.ConsulResponse;
+import org.kiwiproject.consul.model.kv.ImmutableOperation;
+import org.kiwiproject.consul.model.kv.Operation;
+import org.kiwiproject.consul.model.kv.TxResponse;
+import org.kiwiproject.consul.model.kv.Verb;
 import org.kiwiproject.consul.option.ConsistencyMode;
 import org.kiwiproject.consul.option.ImmutableDeleteOptions;
 import org.kiwiproject.consul.option.ImmutablePutOptions;
 import org.kiwiproject.consul.option.ImmutableQueryOptions;
-import shelffront.stages.StageException.EngineException;
-import shelffront.stages.StageException.EngineGarbled;
-import shelffront.stages.StageException.EngineRefused;
-import shelffront.stages.StageException.EngineUnreachable;
+import shelffront.engine.EngineException.EngineGarbled;
+import shelffront.engine.EngineException.EngineRefused;
+import shelffront.engine.EngineException.EngineUnreachable;
 
 /**
  * Consul's KV store as the engine, through its agent: check-and-set by ModifyIndex, blocking queries for the watch.
@@ -25,6 +28,8 @@
  */
 public final class ConsulEngine implements Engine {
 
+    private static final int CONFLICT = 409;
+
     private final String where;
     private final Consul brief;
     private final Consul patient;
@@ -112,6 +117,55 @@
         });
     }
 
+    @Override
+    public boolean transact(List<Write> writes) throws EngineException {
+        return transaction(writes.stream().map(ConsulEngine::operation).toArray(Operation[]::new)) != null;
+    }
+
+    private static Operation operation(Write write) {
+        boolean removes = write.text() == null;
+        boolean checked = write.index() != Write.ANY_INDEX;
+        Verb verb = removes
+                ? checked ? Verb.DELETE_CHECK_AND_SET : Verb.DELETE
+                : checked ? Verb.CHECK_AND_SET : Verb.SET;
+        ImmutableOperation.Builder operation = Operation.builder(verb).key(write.key());
+        if (!removes) {
+            operation.value(write.text());
+        }
+        return checked ? operation.index(BigInteger.valueOf(write.index())).build() : operation.build();
+    }
+
+    @Override
+    public List<Value> readAll(List<String> keys) throws EngineException {
+        List<Value> found = transaction(keys.stream().map(k -> Operation.builder(Verb.GET).key(k).build())
+                .toArray(Operation[]::new));
+        if (found == null) { // a key that is not there ends a transaction of reads
+            found = new ArrayList<>();
+            for (String key : keys) {
+                Value value = read(key);
+                if (value != null) {
+                    found.add(value);
+                }
+            }
+        }
+        return found;
+    }
+
+    /** The values that it read or wrote; null where it was refused for what its keys hold. */
+    private List<Value> transaction(Operation... operations) throws EngineException {
+        try {
+            TxResponse response = ask(() -> calls.performTransaction(operations).getResponse());
+            List<Value> values = new ArrayList<>();
+            response.results().forEach(r -> r.values().forEach(v -> values.add(value(v))));
+            return values;
+        } catch (EngineRefused e) {
+            if (e.status() == CONFLICT) {
+                return null;
+            }
+            throw e;
+        }
+    }
+
     @Override
     public void close() {
         brief.destroy();
--- a/gateway/src/main/java/shelffront/engine/Engine.java
+++ b/gateway/src/main/java/shelffront/engine/Engine.java
@@ -1,4 +1,4 @@
-package shelffront.stages;
+package shelffront.engine;
 
 import java.util.List;
 
@@ -15,19 +15,38 @@
     record Listing(long index, List<Value> values) {}
 
     /** A key, or null. */
-    Value read(String key) throws StageException.EngineException;
+    Value read(String key) throws EngineException;
 
     /** All keys under a prefix. */
-    Listing list(String prefix) throws StageException.EngineException;
+    Listing list(String prefix) throws EngineException;
 
     /** The same once its index has passed that of a listing, or after a while of the engine's choice. */
-    Listing watch(String prefix, long after) throws StageException.EngineException;
+    Listing watch(String prefix, long after) throws EngineException;
 
     /** Whether it was taken; index 0: only where there is no such key. */
-    boolean put(String key, long index, String text) throws StageException.EngineException;
+    boolean put(String key, long index, String text) throws EngineException;
 
     /** Takes the key away where it has the index. */
-    void delete(String key, long index) throws StageException.EngineException;
+    void delete(String key, long index) throws EngineException;
+
+    /**
+     * One key's part in a transaction: its index must be this one (0: there is no such key); a text of null removes
+     * it.
+     */
+    record Write(String key, long index, String text) {
+
+        /** Whatever the key's index is. */
+        public static final long ANY_INDEX = -1;
+    }
+
+    /** Carries out all writes, at most {@link #MOST_IN_TRANSACTION}, or none; whether they were taken. */
+    boolean transact(List<Write> writes) throws EngineException;
+
+    /** Several keys as of one moment, those that there are; at most {@link #MOST_IN_TRANSACTION}. */
+    List<Value> readAll(List<String> keys) throws EngineException;
+
+    /** Operations that one transaction may have. */
+    int MOST_IN_TRANSACTION = 64;
 
     @Override
     void close();
--- /dev/null
+++ b/gateway/src/main/java/shelffront/fleetconfig/DistributorRole.java
@@ -0,0 +1,108 @@
+package shelffront.fleetconfig;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.time.temporal.ChronoUnit;
+import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.ThreadFactory;
+import java.util.function.LongSupplier;
+import shelffront.config.GatewayConfig;
+import shelffront.config.MalformedInputException;
+import shelffront.distribution.EndpointChoice;
+import shelffront.engine.ConsulEngine;
+import shelffront.net.Log;
+import shelffront.tenant.SpecJson.SpecException;
+
+/** A distributor as {@code distribute --config} starts it: follows the engine or others, and serves subscribers. */
+public final class DistributorRole implements AutoCloseable {
+
+    private static final int ANSWER_THREADS = 16;
+
+    private final DistributionServer server;
+    private final ScheduledThreadPoolExecutor timer;
+    private final ExecutorService answers;
+    private final AutoCloseable follower;
+    private final Runnable start;
+
+    private DistributorRole(InetSocketAddress listen, FleetRecordsConfig config, Log log) throws IOException {
+        LongSupplier clock = () -> System.nanoTime() / 1000;
+        timer = timer(2, "distributor-timer");
+        answers = Executors.newFixedThreadPool(ANSWER_THREADS, daemons("distributor-answer"));
+        Distributor distributor = new Distributor(timer, answers, clock);
+        server = new DistributionServer(listen, distributor, answers, log);
+        if (config.distributors().isEmpty()) {
+            EngineFollower engine = new EngineFollower(changeStore(config), distributor, clock, log);
+            follower = engine;
+            start = engine::start;
+        } else {
+            EndpointChoice choice = new EndpointChoice(config.name(), config.region(), config.zone(),
+                    config.distributors(), config.timings().reconnectSpread(), new Random());
+            Subscriber subscriber = new Subscriber(config.name(), new UpstreamFollower(config.name(), distributor),
+                    FleetRecords.httpClient(config.timings()), choice, config.timings(), config.staleAfter(), timer,
+                    clock,
+                    log);
+            follower = subscriber;
+            start = subscriber::start;
+        }
+    }
+
+    /** By settings that hold where it listens, beside what {@link FleetRecordsConfig} reads. */
+    public static DistributorRole read(JsonNode settings, Log log) throws SpecException, IOException {
+        if (!settings.isObject()) {
+            throw new SpecException("", "not a JSON object");
+        }
+        ObjectNode rest = settings.deepCopy();
+        JsonNode listen = rest.remove("listen");
+        try {
+            InetSocketAddress address = GatewayConfig.address(listen == null ? "" : listen.asText());
+            return new DistributorRole(address, FleetRecordsConfig.read(rest, ""), log);
+        } catch (MalformedInputException | IllegalArgumentException e) {
+            throw new SpecException("/listen", "is not an address host:port");
+        }
+    }
+
+    /** The engine's side, for whoever has an engine in its settings. */
+    public static ChangeStore changeStore(FleetRecordsConfig config) {
+        return new ChangeStore(new ConsulEngine(config.engine().getHostString(), config.engine().getPort(),
+                Duration.of(config.timings().pollWait(), ChronoUnit.MICROS)), config.fleet());
+    }
+
+    /** Threads for timed work, which end with the process. */
+    public static ScheduledThreadPoolExecutor timer(int threads, String name) {
+        ScheduledThreadPoolExecutor timer = new ScheduledThreadPoolExecutor(threads, daemons(name));
+        timer.setRemoveOnCancelPolicy(true);
+        return timer;
+    }
+
+    private static ThreadFactory daemons(String name) {
+        return task -> {
+            Thread thread = new Thread(task, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+
+    /** Follows and serves until {@link #close}. */
+    public void start() {
+        server.start();
+        start.run();
+    }
+
+    public InetSocketAddress address() {
+        return server.address();
+    }
+
+    @Override
+    public void close() throws Exception {
+        follower.close();
+        server.close();
+        timer.shutdownNow();
+        answers.shutdownNow();
+    }
+}
--- a/gateway/src/main/java/shelffront/hosted/Hosted.java
+++ b/gateway/src/main/java/shelffront/hosted/Hosted.java
@@ -10,15 +10,21 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongConsumer;
 import shelffront.admin.AdminServer;
+import shelffront.admin.FleetCalls;
 import shelffront.admin.Tenancy;
+import shelffront.admin.TenantRecords;
 import shelffront.admin.Tokens;
+import shelffront.distribution.Version;
+import shelffront.engine.ConsulEngine;
+import shelffront.engine.Engine;
+import shelffront.engine.EngineException;
+import shelffront.engine.OperatorException;
+import shelffront.fleetconfig.FleetRecords;
 import shelffront.gateway.Gateway;
 import shelffront.net.Counters;
 import shelffront.net.Log;
 import shelffront.net.Network;
 import shelffront.net.EventLoop;
-import shelffront.stages.ConsulEngine;
-import shelffront.stages.Engine;
 import shelffront.stages.History;
 import shelffront.stages.Stages;
 import shelffront.stages.StagesConfig;
@@ -30,7 +36,7 @@
 import shelffront.tenant.TenantSpec;
 
 /** A gateway for many tenants with its store and its administration, as {@code serve --config} starts it. */
-public final class Hosted implements Tenancy.Control {
+public final class Hosted implements Tenancy.Control, FleetCalls.Distribution {
 
     private final Network network;
     private final EventLoop loop;
@@ -40,6 +46,7 @@
     private final Tokens tokens;
     private final Tenancy tenancy;
     private final AdminServer admin;
+    private final FleetTenants fleetTenants; // null where its tenants are its own
     private final Stages stages; // null where this gateway is on its own
 
     public Hosted(HostedConfig config, Log log) throws IOException, SpecException {
@@ -53,15 +60,21 @@
         store = config.store() == null ? Store.inMemory() : Store.open(config.store());
         try {
             tokens = new Tokens(store, System::currentTimeMillis);
-            tenancy = new Tenancy(store, this, System::currentTimeMillis);
+            fleetTenants = config.distribution() == null ? null : new FleetTenants(config.distribution(), this, log);
+            tenancy = tenancy();
             gateway = new Gateway(network, config.listen(), config.sockets(), lanes, lanes::isDrained, lanes::close);
             lanes.behind(gateway.clients());
             tenancy.start();
             seed(config);
+            if (fleetTenants != null) {
+                fleetTenants.whenReached(tenancy::reached);
+                lanes.lookUpWith(fleetTenants::lookUp, fleetTenants::forget);
+            }
             stages = config.fleet() == null ? null : stages(config.fleet(), log);
             admin = config.admin() == null ? null
-                    : new AdminServer(config.admin(), store, tenancy, tokens, stages, log);
-        } catch (ConflictException e) {
+                    : new AdminServer(config.admin(), store, tenancy, tokens,
+                            new FleetCalls(stages, fleetTenants == null ? null : this), log);
+        } catch (ConflictException | OperatorException e) {
             store.close();
             throw new IllegalStateException("nobody else has the store yet", e);
         } catch (IOException | SpecException | RuntimeException e) {
@@ -70,6 +83,13 @@
         }
     }
 
+    private Tenancy tenancy() {
+        TenantRecords shared = fleetTenants == null ? null : fleetTenants.administration();
+        return shared == null
+                ? new Tenancy(store, this, System::currentTimeMillis)
+                : new Tenancy(shared, this, System::currentTimeMillis);
+    }
+
     /** A call of the engine has a quarter of a lease: a renewal that fails leaves time for others. */
     private static Stages stages(StagesConfig fleet, Log log) throws IOException {
         Engine engine = new ConsulEngine(fleet.host(), fleet.port(),
@@ -79,7 +99,7 @@
     }
 
     /** Puts in the tenants of a file that the store has none of; those it has stand as administrators left them. */
-    public int seed(HostedConfig config) throws SpecException, ConflictException {
+    public int seed(HostedConfig config) throws SpecException, ConflictException, OperatorException {
         int count = 0;
         for (JsonNode tenant : config.tenants()) {
             String id = tenant.path("id").asText();
@@ -99,10 +119,16 @@
         if (stages != null) {
             stages.start();
         }
+        if (fleetTenants != null) {
+            fleetTenants.start();
+        }
         lanes.start();
         gateway.start();
         loop.run();
         lanes.join();
+        if (fleetTenants != null) {
+            fleetTenants.close();
+        }
         if (stages != null) {
             stages.close();
         }
@@ -171,6 +197,16 @@
         return lane;
     }
 
+    @Override
+    public FleetRecords.Status status() {
+        return fleetTenants.status();
+    }
+
+    @Override
+    public Version beginIncarnation() throws EngineException {
+        return fleetTenants.beginIncarnation();
+    }
+
     @Override
     public void apply(TenantSpec spec, LongConsumer inForce) {
         loop.post(() -> lanes.apply(spec, inForce));
--- a/gateway/src/main/java/shelffront/hosted/HostedConfig.java
+++ b/gateway/src/main/java/shelffront/hosted/HostedConfig.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import shelffront.config.GatewayConfig;
 import shelffront.config.MalformedInputException;
+import shelffront.fleetconfig.FleetRecordsConfig;
 import shelffront.stages.StagesConfig;
 import shelffront.tenant.SpecJson;
 import shelffront.tenant.SpecJson.SpecException;
@@ -25,19 +26,22 @@
  * @param openRequests places for open requests, divided likewise
  * @param tenants put into the store at the start where it has none of that name
  * @param fleet what the gateways of a fleet change together; null where this one is on its own
+ * @param distribution by which its tenants come to it; null where it has tenants of its own
  */
 public record HostedConfig(InetSocketAddress listen, InetSocketAddress admin, Path store, int cores, int sockets,
-        long bufferBytes, double requestsPerSecond, int openRequests, List<JsonNode> tenants, StagesConfig fleet) {
+        long bufferBytes, double requestsPerSecond, int openRequests, List<JsonNode> tenants, StagesConfig fleet,
+        FleetRecordsConfig distribution) {
 
     private static final Set<String> NAMES = Set.of("listen", "admin", "store", "cores", "sockets", "bufferBytes",
             "capacity",
-            "tenants", "fleet");
+            "tenants", "fleet", "distribution");
     private static final Set<String> CAPACITY_NAMES = Set.of("requestsPerSecond", "openRequests");
 
     /** Of a gateway on its own. */
     public HostedConfig(InetSocketAddress listen, InetSocketAddress admin, Path store, int cores, int sockets,
             long bufferBytes, double requestsPerSecond, int openRequests, List<JsonNode> tenants) {
-        this(listen, admin, store, cores, sockets, bufferBytes, requestsPerSecond, openRequests, tenants, null);
+        this(listen, admin, store, cores, sockets, bufferBytes, requestsPerSecond, openRequests, tenants, null,
+                null);
     }
 
     /** Throws with the pointer to the first field at fault. */
@@ -63,6 +67,9 @@
             }
             tenants.add(tenant);
         }
+        if (top.has("distribution") && !tenants.isEmpty()) {
+            throw new SpecException("/tenants", "come by distribution; put them through the administration");
+        }
         if (!top.path("store").isMissingNode() && !top.path("store").isTextual()) {
             throw new SpecException("/store", "is not the path of a file");
         }
@@ -72,7 +79,10 @@
                 (long) number(top, "", "bufferBytes", 1 << 20, 1L << 40, 64L << 20),
                 number(capacity, "/capacity", "requestsPerSecond", 0, 1e7, 0),
                 (int) number(capacity, "/capacity", "openRequests", 1, 1e7, 2000), List.copyOf(tenants),
-                top.has("fleet") ? StagesConfig.read(top.path("fleet"), "/fleet") : null);
+                top.has("fleet") ? StagesConfig.read(top.path("fleet"), "/fleet") : null,
+                top.has("distribution")
+                        ? FleetRecordsConfig.read(top.path("distribution"), "/distribution")
+                        : null);
     }
 
     private static void known(JsonNode object, String at, Set<String> names) throws SpecException {
--- a/gateway/src/main/java/shelffront/hosted/Lanes.java
+++ b/gateway/src/main/java/shelffront/hosted/Lanes.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.function.LongConsumer;
 import shelffront.client.Clients;
 import shelffront.gateway.Gateway;
@@ -36,6 +37,9 @@
  */
 final class Lanes implements Clients.Door {
 
+    /** Microseconds after which a tenant of a fleet that no client asked for is served here no longer. */
+    private static final long FORGET_AFTER = 600_000_000;
+
     private record Lane(Network network, Tenants tenants) {}
 
     /** Where a tenant lives. */
@@ -44,6 +48,7 @@
         private TenantSpec spec;
         private int lane;
         private int clients; // connections handed over and not ended there
+        private long usedAt; // when a client last named it
 
         private Home(TenantSpec spec, int lane) {
             this.spec = spec;
@@ -58,6 +63,8 @@
     private final Placement placement;
     private final Network front;
     private final boolean[] drained;
+    private Function<String, CompletableFuture<Boolean>> finder; // null where all tenants are known
+    private Consumer<String> forget;
 
     Lanes(HostedConfig config, Log log, Ground ground) throws IOException {
         Shares.Common shares = new Shares.Common(config.requestsPerSecond(), config.openRequests(), config.cores());
@@ -193,8 +200,43 @@
         return sum;
     }
 
+    /**
+     * Tenants that a client names, and that are not here, are looked up by this; those unused for long are forgotten.
+     */
+    void lookUpWith(Function<String, CompletableFuture<Boolean>> tenantFinder, Consumer<String> forgetter) {
+        finder = tenantFinder;
+        forget = forgetter;
+        front.loop().post(this::forgetUnused);
+    }
+
+    private void forgetUnused() {
+        long now = front.loop().now();
+        List<String> unused = new ArrayList<>();
+        homes.forEach((id, home) -> {
+            boolean alone = home.lane == 0 ? lanes.get(0).tenants().isAlone(id) : home.clients == 0;
+            home.usedAt = alone && home.usedAt > 0 ? home.usedAt : now;
+            if (now - home.usedAt > FORGET_AFTER) {
+                unused.add(id);
+            }
+        });
+        unused.forEach(forget);
+        front.loop().at(now + FORGET_AFTER / 10, this::forgetUnused);
+    }
+
     // ---- The door ---------------------------------------------------------------------------------------------
 
+    @Override
+    public boolean lookUp(Map<String, String> startup, Clients here, Consumer<ProtocolException> then) {
+        String name = Tenants.name(startup);
+        if (finder == null || homes.containsKey(name)) {
+            return false;
+        }
+        finder.apply(name).whenComplete((found, failure) -> front.loop().post(() -> then.accept(failure == null
+                ? null
+                : new ProtocolException("57P03", "whether there is such a database can't be told now"))));
+        return true;
+    }
+
     @Override
     public Clients home(Map<String, String> startup, Clients here) {
         Home home = homes.get(Tenants.name(startup));
--- a/gateway/src/main/java/shelffront/net/Connection.java
+++ b/gateway/src/main/java/shelffront/net/Connection.java
@@ -140,6 +140,12 @@
         readMore();
     }
 
+    /** Offers what was read, whether or not anything was left when input was last wanted; then reads on. */
+    protected final void offerAgain() {
+        paused = true;
+        readMore();
+    }
+
     protected final long now() {
         return network.loop().now();
     }
--- a/gateway/src/main/java/shelffront/stages/Stages.java
+++ b/gateway/src/main/java/shelffront/stages/Stages.java
@@ -10,16 +10,17 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import shelffront.engine.Engine;
+import shelffront.engine.Engine.Value;
+import shelffront.engine.EngineException;
+import shelffront.engine.EngineException.EngineGarbled;
 import shelffront.net.Log;
 import shelffront.stage.Bounds;
 import shelffront.stage.Holder;
 import shelffront.stage.Member;
 import shelffront.stage.Owner;
 import shelffront.stage.Standing;
-import shelffront.stages.Engine.Value;
 import shelffront.stages.StageException.Contended;
-import shelffront.stages.StageException.EngineException;
-import shelffront.stages.StageException.EngineGarbled;
 import shelffront.stages.StageException.UnknownStage;
 import shelffront.stages.StageException.UnknownSubject;
 
@@ -429,7 +430,7 @@
             List<String> waitsFor) {}
 
     /** Where all subjects stand, by name, or the one that is named; null: all. */
-    public List<Shown> show(String only) throws StageException {
+    public List<Shown> show(String only) throws StageException, EngineException {
         List<Shown> shown = new ArrayList<>();
         for (Subject s : only == null ? new TreeMap<>(subjects).values() : List.of(subject(only))) {
             Value value = engine.read(prefix + "standing/" + s.name);
@@ -442,7 +443,7 @@
     }
 
     /** Asks that a subject go to a stage, one after another; gives where it stands now. */
-    public Standing target(String name, String stage) throws StageException {
+    public Standing target(String name, String stage) throws StageException, EngineException {
         Subject s = subject(name);
         int to = s.stages.indexOf(stage);
         if (to < 0) {
--- a/gateway/src/main/java/shelffront/store/Store.java
+++ b/gateway/src/main/java/shelffront/store/Store.java
@@ -38,7 +38,7 @@
 
         private final transient Entry present;
 
-        ConflictException(Entry present) {
+        public ConflictException(Entry present) {
             super("changed by another");
             this.present = present;
         }
--- a/gateway/src/test/java/shelffront/stages/StagesTest.java
+++ b/gateway/src/test/java/shelffront/stages/StagesTest.java
@@ -12,11 +12,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.TreeMap;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import shelffront.engine.EngineException;
+import shelffront.engine.MemoryEngine;
 import shelffront.tenant.SpecJson.SpecException;
 
 /** One gateway's stages on an engine in memory, its settings, and the page of its errors. */
@@ -24,58 +25,6 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
-    /** Keys in memory; all of the interface's promises in one lock. */
-    private static final class Memory implements Engine {
-
-        private final TreeMap<String, Value> values = new TreeMap<>();
-        private long index = 1;
-
-        @Override
-        public synchronized Value read(String key) {
-            return values.get(key);
-        }
-
-        @Override
-        public synchronized Listing list(String prefix) {
-            return new Listing(index, values.tailMap(prefix).values().stream().filter(v -> v.key().startsWith(prefix))
-                    .toList());
-        }
-
-        @Override
-        public synchronized Listing watch(String prefix, long after) {
-            try {
-                if (index == after) {
-                    wait(50);
-                }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-            return list(prefix);
-        }
-
-        @Override
-        public synchronized boolean put(String key, long at, String text) {
-            if ((values.containsKey(key) ? values.get(key).index() : 0) != at) {
-                return false;
-            }
-            values.put(key, new Value(key, ++index, text));
-            notifyAll();
-            return true;
-        }
-
-        @Override
-        public synchronized void delete(String key, long at) {
-            if (values.containsKey(key) && values.get(key).index() == at) {
-                values.remove(key);
-                index++;
-                notifyAll();
-            }
-        }
-
-        @Override
-        public void close() {}
-    }
-
     private static StagesConfig config(String more) throws Exception {
         return StagesConfig.read(JSON.readTree("{\"engine\":\"127.0.0.1:1\",\"fleet\":\"f\",\"name\":\"g\","
                 + "\"subjects\":{\"s\":[\"one\",\"two\",\"three\"]}" + more + "}"), "/fleet");
@@ -95,7 +44,7 @@
     @Test
     void anActHoldsUpTheMoveAfterTheNextUntilItEnds() throws Exception {
         BlockingQueue<String> log = new LinkedBlockingQueue<>();
-        Memory memory = new Memory();
+        MemoryEngine memory = new MemoryEngine();
         try (Stages stages = new Stages(config(",\"leaseMs\":600000"), memory, "1", History.to(null),
                 line -> log.add(String.valueOf(line)))) {
             assertNull(stages.inForce("s"), "the safe stage until it has joined");
@@ -124,7 +73,7 @@
     @Test
     void whatStandsInTheEngineAndCantBeReadIsSaid() throws Exception {
         BlockingQueue<String> log = new LinkedBlockingQueue<>();
-        Memory memory = new Memory();
+        MemoryEngine memory = new MemoryEngine();
         memory.put("shelffront/f/standing/s", 0, "{\"epoch\":1,\"stage\":\"five\",\"target\":\"one\"}");
         try (Stages stages = new Stages(config(""), memory, "1", History.to(null),
                 line -> log.add(String.valueOf(line)))) {
@@ -154,11 +103,9 @@
     @Test
     void theOperatorsPageNamesEveryError() throws Exception {
         String page = Files.readString(Path.of("../docs/operators/fleet-changes.md"));
-        List<Class<?>> kinds = new ArrayList<>();
-        for (Class<?> kind : StageException.class.getPermittedSubclasses()) {
-            kinds.addAll(kind.isSealed() ? List.of(kind.getPermittedSubclasses()) : List.of(kind));
-        }
-        assertEquals(6, kinds.size());
+        List<Class<?>> kinds = new ArrayList<>(List.of(StageException.class.getPermittedSubclasses()));
+        kinds.addAll(List.of(EngineException.class.getPermittedSubclasses()));
+        assertEquals(7, kinds.size());
         for (Class<?> kind : kinds) {
             String code = kind.getSimpleName().replaceAll("(?<=.)([A-Z])", "-$1").toLowerCase(java.util.Locale.ROOT);
             assertTrue(page.contains("`" + code + "`"), code);
--- a/lab/src/main/java/shelffront/lab/rig/ConsulStandIn.java
+++ b/lab/src/main/java/shelffront/lab/rig/ConsulStandIn.java
@@ -15,6 +15,7 @@
 import java.net.URLDecoder;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.Base64;
 import java.util.HashMap;
@@ -22,13 +23,15 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicLong;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
 /**
  * Stands in for a Consul agent: the part of its published HTTP API that gateways use, {@code /v1/kv} with check-and-set
- * and blocking queries. What was answered is in its file and there again after a restart. It can be told, by a PUT to
- * {@code /fault}, to have no leader, to answer late, to garble its answers, or to forget all it has.
+ * and blocking queries, {@code /v1/txn}. What was answered is in its file and there again after a restart. It can be
+ * told, by a PUT to {@code /fault}, to have no leader, to answer late, to garble its answers, to forget all it has,
+ * or to keep what it has and be restored from that later.
  */
 @Command(name = "consul-stand-in", mixinStandardHelpOptions = true,
         description = "Serves a stand-in for a Consul agent's key-value store on loopback until it is ended.")
@@ -52,28 +55,46 @@
     private boolean leaderless;
     private long lateMs;
     private boolean garbles;
+    private final AtomicLong callCount = new AtomicLong();
+    private final AtomicLong byteCount = new AtomicLong();
 
     @Override
     public Integer call() throws IOException, InterruptedException {
         if (Files.exists(file)) {
-            for (String line : Files.readAllLines(file)) {
-                JsonNode o = JSON.readTree(line);
-                index = o.path("index").asLong();
-                apply(o.path("key").asText(), o.has("value") ? Base64.getDecoder().decode(o.path("value").asText())
-                        : null, index);
-            }
+            load();
         }
         out = Files.newBufferedWriter(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
         HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 256);
         server.setExecutor(Executors.newCachedThreadPool());
         server.createContext("/v1/kv/", this::kv);
+        server.createContext("/v1/txn", this::transaction);
         server.createContext("/fault", this::fault);
+        server.createContext("/calls", this::calls);
         server.start();
         System.out.println("listens on 127.0.0.1:" + server.getAddress().getPort());
         Thread.currentThread().join();
         return 0;
     }
 
+    private void load() throws IOException {
+        for (String line : Files.readAllLines(file)) {
+            JsonNode o = JSON.readTree(line);
+            index = o.path("index").asLong();
+            apply(o.path("key").asText(), o.has("value") ? Base64.getDecoder().decode(o.path("value").asText())
+                    : null, index);
+        }
+    }
+
+    private Path kept() {
+        return file.resolveSibling(file.getFileName() + ".kept");
+    }
+
+    /** Calls answered so far, and bytes of their bodies, both ways. */
+    private void calls(HttpExchange exchange) throws IOException {
+        String text = JSON.createObjectNode().put("calls", callCount.get()).put("bytes", byteCount.get()).toString();
+        answer(exchange, 200, text, 0);
+    }
+
     private static Map<String, String> query(HttpExchange exchange) {
         Map<String, String> query = new HashMap<>();
         String raw = exchange.getRequestURI().getRawQuery();
@@ -91,6 +112,15 @@
             leaderless = query.getOrDefault("leader", "yes").equals("no");
             lateMs = Long.parseLong(query.getOrDefault("late", "0"));
             garbles = query.containsKey("garble");
+            if (query.containsKey("keep")) {
+                Files.copy(file, kept(), StandardCopyOption.REPLACE_EXISTING);
+            }
+            if (query.containsKey("restore")) {
+                entries.clear();
+                removed.clear();
+                Files.copy(kept(), file, StandardCopyOption.REPLACE_EXISTING);
+                load();
+            }
             if (query.containsKey("forget")) {
                 entries.clear();
                 removed.clear();
@@ -105,6 +135,7 @@
     private void kv(HttpExchange exchange) throws IOException {
         try {
             byte[] body = exchange.getRequestBody().readAllBytes();
+            count(body.length);
             long late;
             synchronized (this) {
                 late = lateMs;
@@ -131,21 +162,96 @@
         }
     }
 
+    private void count(int bytes) {
+        callCount.incrementAndGet();
+        byteCount.addAndGet(bytes);
+    }
+
     private synchronized boolean write(String key, String cas, byte[] value) throws IOException {
-        Entry now = entries.get(key);
-        if (cas != null && Long.parseLong(cas) != (now == null ? 0 : now.modified())) {
+        if (!mayWrite(key, cas)) {
             return false;
         }
         index++;
+        put(key, value);
+        out.flush();
+        notifyAll();
+        return true;
+    }
+
+    private boolean mayWrite(String key, String cas) {
+        Entry now = entries.get(key);
+        return cas == null || Long.parseLong(cas) == (now == null ? 0 : now.modified());
+    }
+
+    /** Under the index as it stands: all writes of a transaction have one. */
+    private void put(String key, byte[] value) throws IOException {
         ObjectNode line = JSON.createObjectNode().put("index", index).put("key", key);
         if (value != null) {
             line.put("value", Base64.getEncoder().encodeToString(value));
         }
         out.write(line + "\n");
-        out.flush();
         apply(key, value, index);
-        notifyAll();
-        return true;
+    }
+
+    /** All operations or none, as the published API has it; of its verbs those that gateways use. */
+    private void transaction(HttpExchange exchange) throws IOException {
+        byte[] body = exchange.getRequestBody().readAllBytes();
+        count(body.length);
+        ObjectNode answer = JSON.createObjectNode();
+        ArrayNode results = answer.putArray("Results");
+        ArrayNode errors = answer.putArray("Errors");
+        synchronized (this) {
+            if (leaderless) {
+                answer(exchange, 500, "No cluster leader", 0);
+                return;
+            }
+            JsonNode operations = JSON.readTree(body);
+            for (int i = 0; i < operations.size(); i++) {
+                JsonNode operation = operation(operations.path(i));
+                boolean reads = operation.path("Verb").asText().equals("get");
+                boolean may = reads
+                        ? entries.containsKey(operation.path("Key").asText())
+                        : mayWrite(operation.path("Key").asText(), cas(operation));
+                if (!may) {
+                    errors.addObject().put("OpIndex", i).put("What", "key does not exist or its index is stale");
+                }
+            }
+            if (errors.isEmpty()) {
+                index++;
+                for (JsonNode operation : operations) {
+                    carryOut(operation(operation), results);
+                }
+                out.flush();
+                notifyAll();
+            }
+        }
+        answer(exchange, errors.isEmpty() ? 200 : 409, answer.toString(), 0);
+    }
+
+    /** Names are taken in any case, as the published implementation's JSON reader does. */
+    private static JsonNode operation(JsonNode in) {
+        return in.has("KV") ? in.path("KV") : in.path("kv");
+    }
+
+    private static String cas(JsonNode operation) {
+        boolean checked = operation.path("Verb").asText().endsWith("cas");
+        return checked ? operation.path("Index").asText() : null;
+    }
+
+    private void carryOut(JsonNode operation, ArrayNode results) throws IOException {
+        String key = operation.path("Key").asText();
+        switch (operation.path("Verb").asText()) {
+            case "get" -> results.addObject().set("KV", shown(key, entries.get(key)));
+            case "set", "cas" -> put(key, Base64.getDecoder().decode(operation.path("Value").asText()));
+            case "delete", "delete-cas" -> put(key, null);
+            default -> throw new IllegalArgumentException("no such verb here: " + operation);
+        }
+    }
+
+    private static ObjectNode shown(String key, Entry e) {
+        return JSON.createObjectNode().put("LockIndex", 0).put("Key", key).put("Flags", 0)
+                .put("Value", Base64.getEncoder().encodeToString(e.value()))
+                .put("CreateIndex", e.created()).put("ModifyIndex", e.modified());
     }
 
     private void apply(String key, byte[] value, long at) {
@@ -194,10 +300,7 @@
                 if (!(recurse ? each.getKey().startsWith(key) : each.getKey().equals(key))) {
                     break;
                 }
-                Entry e = each.getValue();
-                list.addObject().put("LockIndex", 0).put("Key", each.getKey()).put("Flags", 0)
-                        .put("Value", Base64.getEncoder().encodeToString(e.value()))
-                        .put("CreateIndex", e.created()).put("ModifyIndex", e.modified());
+                list.add(shown(each.getKey(), each.getValue()));
             }
         }
         answer(exchange, list.isEmpty() ? 404 : 200, list.isEmpty() ? "" : list.toString(), last);
@@ -218,6 +321,7 @@
         exchange.getResponseHeaders().set("X-Consul-Index", Long.toString(at));
         exchange.getResponseHeaders().set("X-Consul-KnownLeader", "true");
         exchange.getResponseHeaders().set("X-Consul-LastContact", "0");
+        byteCount.addAndGet(body.length);
         exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
         exchange.getResponseBody().write(body);
         exchange.close();
