Measure a fleet's distribution by processes, and break it by drawn schedules

Change: lab/fleet. `fleet-scale` starts the stand-in engine, a distributor for each region and zone, hollow gateways (the real control code, many in a process) and real ones, makes changes and measures each role by /proc; `distribution-explore` breaks such a fleet by seeds (distributors killed or stopped, zones cut or slow, regions apart, an engine without leader, restarted, restored from older data, a zone restarted, bursts) with clients asking, and DistributionHistories judges. Rig's processes are JavaProcess now.

A fault in a callback ended the following unseen; it is logged and followed anew.

--- a/core/src/main/java/shelffront/distribution/SubscribedView.java
+++ b/core/src/main/java/shelffront/distribution/SubscribedView.java
@@ -61,7 +61,7 @@
         return version;
     }
 
-    /** Counts changes of the set of names. */
+    /** Counts how often names were added to those that distributors are told. */
     public long edition() {
         return edition;
     }
@@ -101,12 +101,13 @@
         return true;
     }
 
-    /** Follows a name no longer. */
+    /**
+     * Follows a name no longer. The edition stays: a distributor that still counts the name among those followed gives
+     * more than is wanted, and never less.
+     */
     public void forget(String name) {
-        if (names.remove(name)) {
-            edition++;
-            records.remove(name);
-        }
+        names.remove(name);
+        records.remove(name);
     }
 
     /**
--- a/core/src/test/java/shelffront/distribution/DistributionModel.java
+++ b/core/src/test/java/shelffront/distribution/DistributionModel.java
@@ -108,7 +108,7 @@
             case 5, 6 -> ask(distributor);
             case 7, 8 -> deliver();
             case 9 -> {
-                if (!view.follows(name) && fetches.isEmpty()) {
+                if (!view.follows(name) && fetches.isEmpty() && !distributor.version().equals(Version.NONE)) {
                     view.beginAdding();
                     fetch(name, distributor);
                 }
@@ -119,7 +119,7 @@
     }
 
     private void rarely(String name) {
-        switch (random.nextInt(4)) {
+        switch (random.nextInt(5)) {
             case 0 -> distributors[random.nextInt(2)] = new RecordTable(4, 1000);
             case 1 -> {
                 view.forget(name);
@@ -131,6 +131,7 @@
                     engine.restore(random.nextInt(3));
                 }
             }
+            case 3 -> resubscribe();
             default -> answers.clear();
         }
     }
@@ -152,9 +153,6 @@
     }
 
     private void ask(RecordTable distributor) {
-        if (fetches.isEmpty()) {
-            tell(view.names());
-        }
         Update update = distributor.version().equals(Version.NONE) ? null
                 : distributor.updateFor(view.version(), Interest.in(toldNames));
         if (update != null) {
@@ -169,12 +167,17 @@
     }
 
     private void fetch(String name, RecordTable distributor) {
-        if (!distributor.version().equals(Version.NONE)) {
-            Set<String> names = new HashSet<>(view.names());
-            names.add(name);
-            tell(names);
-            fetches.put(name, new Fetched(distributor.record(name), distributor.version()));
-        }
+        Set<String> names = new HashSet<>(toldNames);
+        names.add(name);
+        tell(names);
+        fetches.put(name, new Fetched(distributor.record(name), distributor.version()));
+    }
+
+    /** Another distributor is followed: answers of calls to the one before count no more. */
+    private void resubscribe() {
+        fetches.clear();
+        answers.clear();
+        tell(view.names());
     }
 
     private boolean added(String name, Fetched fetched) {
--- a/gateway/src/main/java/shelffront/fleetconfig/FleetRecords.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/FleetRecords.java
@@ -90,9 +90,11 @@
     }
 
     /** Puts in force what was kept, then follows the distributors. */
-    public synchronized void start() {
-        startedAt = clock.getAsLong();
-        restore();
+    public void start() {
+        synchronized (this) {
+            startedAt = clock.getAsLong();
+            restore();
+        }
         subscriber.start();
         timer.scheduleWithFixedDelay(this::checkAge, AGE_CHECK_MILLIS, AGE_CHECK_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -137,6 +139,7 @@
     /** Follows a name no longer, and has it put out of force here. */
     public synchronized void forget(String name) {
         view.forget(name);
+        timer.execute(() -> subscriber.forget(name));
         if (inForce.remove(name) != null) {
             target.remove(name);
             keepSoon();
@@ -201,7 +204,6 @@
 
     private void takeUp(Change change) {
         if (change.isRemoval()) {
-            view.forget(change.name());
             inForce.remove(change.name());
             rejected.remove(change.name());
             target.remove(change.name());
@@ -276,10 +278,14 @@
     public record Status(Version version, long ageMillis, String following, int names, int inForce,
             Map<String, String> rejected, String error, String advice) {}
 
-    public synchronized Status status() {
+    public Status status() {
+        Endpoint following = subscriber.following();
+        return status(following);
+    }
+
+    private synchronized Status status(Endpoint following) {
         long age = freshness.age(clock.getAsLong());
         ViewTooOld e = ageError();
-        Endpoint following = subscriber.following();
         return new Status(view.version(), age == Freshness.NEVER ? -1 : age / 1000,
                 following == null ? null : following.address(), view.names().size(), inForce.size(),
                 Map.copyOf(rejected), e == null ? null : e.code(), e == null ? null : e.advice());
--- a/gateway/src/main/java/shelffront/fleetconfig/Subscriber.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/Subscriber.java
@@ -58,6 +58,7 @@
     private final LongSupplier clock;
     private final Log log;
     private final List<String> wanted = new ArrayList<>(); // names to be asked for
+    private final List<String> forgotten = new ArrayList<>(); // told with the next names that are asked for
     private DistributorClient client; // null while none is followed
     private String subscription;
     private long attempt; // of following somebody; what belongs to an earlier one counts no more
@@ -91,6 +92,12 @@
         addNames();
     }
 
+    /** A name is followed no longer; the distributor is told when there is something else to tell. */
+    synchronized void forget(String forgottenName) {
+        wanted.remove(forgottenName);
+        forgotten.add(forgottenName);
+    }
+
     /** Tells the distributor that a record can't be put in force here. */
     synchronized void reject(Messages.Rejected rejected) {
         if (client != null) {
@@ -130,10 +137,10 @@
         adding = false;
         DistributorClient asked = new DistributorClient(http, endpoint);
         asked.subscribe(owner.subscribing(), timings.connectTimeout())
-                .whenCompleteAsync((answer, failure) -> subscribed(mine, asked, answer, failure), timer);
+                .whenCompleteAsync((answer, failure) -> guarded(() -> subscribed(mine, asked, answer, failure)), timer);
     }
 
-    private synchronized void subscribed(long mine, DistributorClient asked, Messages.Subscribed answer,
+    private void subscribed(long mine, DistributorClient asked, Messages.Subscribed answer,
             Throwable failure) {
         if (mine != attempt || closed) {
             return;
@@ -149,6 +156,18 @@
         poll();
     }
 
+    /** Guards against a fault in one answer's handling ending the following for good, unseen. */
+    private synchronized void guarded(Runnable handling) {
+        try {
+            handling.run();
+        } catch (RuntimeException e) {
+            log.println(name + " fault " + e);
+            if (!closed) {
+                follow();
+            }
+        }
+    }
+
     private void leave(Endpoint endpoint, Throwable failure) {
         Throwable cause = failure.getCause() == null ? failure : failure.getCause();
         log.println(name + " leaves distributor " + endpoint.address() + ": " + cause.getMessage());
@@ -163,10 +182,11 @@
         long sentAt = clock.getAsLong();
         DistributorClient asked = client;
         asked.poll(subscription, owner.version(), timings.pollWait(), timings.pollWait() + timings.answerGrace())
-                .whenCompleteAsync((answer, failure) -> polled(mine, asked, sentAt, answer, failure), timer);
+                .whenCompleteAsync((answer, failure) -> guarded(() -> polled(mine, asked, sentAt, answer, failure)),
+                        timer);
     }
 
-    private synchronized void polled(long mine, DistributorClient asked, long sentAt, Messages.Polled answer,
+    private void polled(long mine, DistributorClient asked, long sentAt, Messages.Polled answer,
             Throwable failure) {
         if (mine != attempt || closed) {
             return;
@@ -213,12 +233,14 @@
         long mine = attempt;
         long sentAt = clock.getAsLong();
         List<String> names = List.copyOf(wanted.subList(0, Math.min(wanted.size(), MOST_NAMES_IN_CALL)));
-        Messages.ChangeNames change = new Messages.ChangeNames(owner.beginAdding(names), names, List.of());
+        Messages.ChangeNames change = new Messages.ChangeNames(owner.beginAdding(names), names,
+                List.copyOf(forgotten));
+        forgotten.clear();
         client.changeNames(subscription, change, timings.connectTimeout()).whenCompleteAsync(
-                (answer, failure) -> added(mine, sentAt, names, answer, failure), timer);
+                (answer, failure) -> guarded(() -> added(mine, sentAt, names, answer, failure)), timer);
     }
 
-    private synchronized void added(long mine, long sentAt, List<String> names, Messages.Added answer,
+    private void added(long mine, long sentAt, List<String> names, Messages.Added answer,
             Throwable failure) {
         if (mine != attempt || closed) {
             return; // asked for again by whoever is followed now
@@ -230,7 +252,7 @@
         }
         if (owner.added(names, answer)) {
             owner.confirmed(sentAt, answer.age());
-            wanted.subList(0, names.size()).clear();
+            wanted.removeAll(names);
             addNames();
         } else {
             timer.schedule(this::addNamesAgain, ADD_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
--- a/gateway/src/main/java/shelffront/fleetconfig/Subscription.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/Subscription.java
@@ -66,8 +66,8 @@
     }
 
     List<String> change(Messages.ChangeNames change) {
-        names.addAll(change.add());
         change.remove().forEach(names::remove);
+        names.addAll(change.add());
         interest = all ? Interest.ALL : Interest.in(names);
         edition = Math.max(edition, change.edition());
         return new ArrayList<>(change.add());
--- a/lab/src/main/java/shelffront/lab/LabMain.java
+++ b/lab/src/main/java/shelffront/lab/LabMain.java
@@ -14,6 +14,9 @@
 import shelffront.cli.Templates;
 import shelffront.lab.experiment.Experiment;
 import shelffront.lab.experiment.VirtualExperiment;
+import shelffront.lab.fleet.DistributionExplore;
+import shelffront.lab.fleet.FleetScale;
+import shelffront.lab.fleet.HollowGateways;
 import shelffront.lab.rig.ConsulStandIn;
 import shelffront.lab.rig.StageExplore;
 import shelffront.tenant.SpecJson.SpecException;
@@ -22,7 +25,8 @@
 @Command(name = "shelffront-lab", mixinStandardHelpOptions = true,
         description = "Plays load and faults against shelffront on stand-in boxes of its own.",
         subcommands = {LabMain.Run.class, LabMain.Compare.class, Explore.class, Explore.Replay.class, Demo.class,
-                Scale.class, Idle.class, ServeFleet.class, ConsulStandIn.class, StageExplore.class,
+                Scale.class, Idle.class, ServeFleet.class, ConsulStandIn.class, StageExplore.class, FleetScale.class,
+                HollowGateways.class, DistributionExplore.class,
                 LabMain.Report.class})
 public final class LabMain {
 
--- /dev/null
+++ b/lab/src/main/java/shelffront/lab/fleet/ClientProbe.java
@@ -0,0 +1,91 @@
+package shelffront.lab.fleet;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Clients of a real gateway: again and again one connects to a tenant that the gateway serves, and has to be served;
+ * and one to a name that nobody has, and has to be refused.
+ */
+final class ClientProbe {
+
+    private static final int PROTOCOL_3 = 196_608;
+    private static final int MOST_MILLIS = 5_000;
+    private static final long PAUSE_MILLIS = 200;
+    private static final long FIRST_MILLIS = 20_000; // within which the tenant has to be found at first
+
+    private final String address;
+    private final String tenant;
+    private final Thread thread;
+    private final List<String> broken = new ArrayList<>();
+    private volatile boolean stopped;
+    private volatile long served;
+
+    ClientProbe(String address, String tenant) {
+        this.address = address;
+        this.tenant = tenant;
+        thread = new Thread(this::run, "client-probe");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    long served() {
+        return served;
+    }
+
+    /** Ends it; gives what broke. */
+    List<String> stop() {
+        stopped = true;
+        try {
+            thread.join(2 * MOST_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return broken;
+    }
+
+    private void run() {
+        try {
+            long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(FIRST_MILLIS);
+            while (!isServed(tenant) && System.nanoTime() < until) {
+                TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+            }
+            while (!stopped && broken.isEmpty()) {
+                if (!isServed(tenant)) {
+                    broken.add("a client of " + tenant + " was not served by " + address);
+                }
+                if (isServed("nobody")) {
+                    broken.add("a client of nobody was served by " + address);
+                }
+                served++;
+                TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Whether the gateway lets a client of this tenant in. */
+    private boolean isServed(String database) {
+        String[] at = address.split(":");
+        try (Socket socket = new Socket(at[0], Integer.parseInt(at[1]))) {
+            socket.setSoTimeout(MOST_MILLIS);
+            byte[] parameters = ("user\0api\0database\0" + database + "\0\0").getBytes(UTF_8);
+            socket.getOutputStream().write(ByteBuffer.allocate(8 + parameters.length).putInt(8 + parameters.length)
+                    .putInt(PROTOCOL_3).put(parameters).array());
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            int type = in.readUnsignedByte();
+            in.readInt();
+            return type == 'R' && in.readInt() == 0; // AuthenticationOk: nobody has a password here
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- a/lab/src/main/java/shelffront/lab/rig/Rig.java
+++ b/lab/src/main/java/shelffront/lab/rig/Rig.java
@@ -1,7 +1,5 @@
 package shelffront.lab.rig;
 
-import static java.nio.charset.StandardCharsets.UTF_8;
-
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -19,9 +17,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.awaitility.Awaitility;
 import shelffront.Main;
@@ -36,6 +32,7 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final Duration MOST = Duration.ofSeconds(60);
+    private static final int HEAP_MB = 96;
     static final String SUBJECT = "drill";
     private static final Pattern ADMIN = Pattern.compile("administration on /([0-9.]+:[0-9]+)");
     private static final Pattern TOKEN = Pattern.compile("shown once: (\\S+)");
@@ -46,8 +43,7 @@
         private final int number;
         private final FaultRelay relay;
         private final long leaseMs;
-        private Process process;
-        private Path log;
+        private JavaProcess process;
         private int starts;
 
         private Node(int number, long leaseMs) throws IOException {
@@ -61,12 +57,11 @@
         }
 
         public boolean isUp() {
-            return process != null && process.isAlive();
+            return process != null && process.isUp();
         }
 
         public void start() throws IOException {
             starts++;
-            log = directory.resolve("g" + number + "." + starts + ".log");
             ObjectNode config = JSON.createObjectNode().put("listen", "127.0.0.1:0").put("admin", "127.0.0.1:0");
             ObjectNode fleet = config.putObject("fleet");
             fleet.put("engine", relay.address()).put("fleet", "rig").put("name", "g" + number).put("leaseMs", leaseMs)
@@ -74,7 +69,8 @@
             fleet.putObject("subjects").putArray(SUBJECT).add("one").add("two").add("three").add("four");
             Path file = directory.resolve("g" + number + ".json");
             Files.writeString(file, config.toString());
-            process = launch(Main.class, log, "serve", "--config", file.toString());
+            process = JavaProcess.start(Main.class, HEAP_MB,
+                    directory.resolve("g" + number + "." + starts + ".log"), "serve", "--config", file.toString());
         }
 
         private Path history() {
@@ -82,26 +78,23 @@
         }
 
         public void signal(String name) {
-            Rig.signal(process, name);
+            process.signal(name);
         }
 
         /** Ends it at once, stopped or not. */
         public void kill() throws InterruptedException {
-            process.destroyForcibly().waitFor();
+            process.kill();
         }
 
         /** Asks it to end, and waits until it has. */
         public void terminate() throws InterruptedException {
-            process.destroy();
-            if (!process.waitFor(MOST.toSeconds(), TimeUnit.SECONDS)) {
-                throw new IllegalStateException("g" + number + " does not end; see " + log);
+            if (!process.terminate(MOST.toSeconds())) {
+                throw new IllegalStateException("g" + number + " does not end; see " + directory);
             }
         }
 
         private String found(Pattern pattern) {
-            String text = read(log);
-            Matcher m = pattern.matcher(text);
-            return m.find() ? m.group(1) : null;
+            return process.found(pattern);
         }
 
         public boolean isReady() {
@@ -110,7 +103,7 @@
 
         /** Whether its log says this. */
         public boolean says(String text) {
-            return read(log).contains(text);
+            return process.printed().contains(text);
         }
 
         /** The status and body of a call of its administration; null where none came. */
@@ -150,7 +143,7 @@
     private final Path directory;
     private final HttpClient http = HttpClient.newHttpClient();
     private final List<Node> nodes = new ArrayList<>();
-    private Process agent;
+    private JavaProcess agent;
     private InetSocketAddress engine;
 
     /** Starts the engine; gateways come with {@link #add}. Files go to the directory. */
@@ -162,13 +155,12 @@
 
     private void startEngine(int port) throws IOException {
         Path log = directory.resolve("engine.log");
-        agent = launch(LabMain.class, log, "consul-stand-in", "--port", Integer.toString(port), "--file",
+        agent = JavaProcess.start(LabMain.class, HEAP_MB, log, "consul-stand-in", "--port", Integer.toString(port),
+                "--file",
                 directory.resolve("engine.state").toString());
         Pattern listens = Pattern.compile("listens on 127.0.0.1:([0-9]+)");
-        await("the engine is up", () -> listens.matcher(read(log)).find());
-        Matcher m = listens.matcher(read(log));
-        m.find();
-        engine = new InetSocketAddress("127.0.0.1", Integer.parseInt(m.group(1)));
+        await("the engine is up", () -> agent.found(listens) != null);
+        engine = new InetSocketAddress("127.0.0.1", Integer.parseInt(agent.found(listens)));
     }
 
     /** A gateway with this lease; started at once. */
@@ -185,7 +177,7 @@
 
     /** Kills the engine's agent and starts it again at the same address, with what it had written. */
     public void restartEngine() throws IOException, InterruptedException {
-        agent.destroyForcibly().waitFor();
+        agent.kill();
         startEngine(engine.getPort());
     }
 
@@ -195,32 +187,6 @@
                 .PUT(BodyPublishers.noBody()).build(), BodyHandlers.ofString());
     }
 
-    private static Process launch(Class<?> main, Path log, String... arguments) throws IOException {
-        List<String> command = new ArrayList<>(List.of(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC",
-                "-XX:TieredStopAtLevel=1", "-Xmx96m", "-cp", System.getProperty("java.class.path"), main.getName()));
-        command.addAll(List.of(arguments));
-        return new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
-    }
-
-    private static void signal(Process process, String name) {
-        try {
-            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private static String read(Path file) {
-        try {
-            return Files.exists(file) ? Files.readString(file, UTF_8) : "";
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     /** Waits for a condition, up to a minute. */
     public void await(String what, BooleanSupplier condition) {
         Awaitility.await(what + ", files in " + directory).atMost(MOST).pollInterval(Duration.ofMillis(50))
@@ -264,10 +230,10 @@
     public void close() throws IOException {
         for (Node n : nodes) {
             if (n.process != null) {
-                n.process.destroyForcibly();
+                n.process.abandon();
             }
             n.relay.close();
         }
-        agent.destroyForcibly();
+        agent.abandon();
     }
 }
--- /dev/null
+++ b/lab/src/test/java/shelffront/lab/fleet/FleetTest.java
@@ -0,0 +1,73 @@
+package shelffront.lab.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import picocli.CommandLine;
+import shelffront.distribution.Version;
+import shelffront.lab.fleet.DistributionHistories.Acknowledged;
+import shelffront.lab.fleet.DistributionHistories.Cut;
+
+/** A fleet of processes, small; and that what judges one can say no. */
+class FleetTest {
+
+    private static final long SECOND = 1_000_000;
+    private static final long BOUND = 14 * SECOND;
+
+    @Test
+    void aHundredGatewaysKeepEveryClaim() {
+        assertEquals(0,
+                new CommandLine(new FleetScale()).execute("--gateways", "100", "--hosts", "500", "--regions", "2",
+                        "--zones", "2", "--real", "1", "--seconds", "6", "--idle-seconds", "2", "--names", "20"));
+    }
+
+    @Test
+    void drawnFaultsBreakNothing() {
+        assertEquals(0,
+                new CommandLine(new DistributionExplore()).execute("--seeds", "1", "--from", "1", "--steps", "3"));
+    }
+
+    private static List<String> judged(List<Cut> cuts, List<Acknowledged> changes, String... lines) {
+        DistributionHistories histories = new DistributionHistories();
+        histories.add("z0", List.of(lines));
+        histories.check("n", List.of("g"), changes, cuts, BOUND);
+        return histories.broken();
+    }
+
+    private static Acknowledged change(long sequence, long at) {
+        return new Acknowledged("n", new Version(1, sequence), false, at);
+    }
+
+    @Test
+    void theCheckerSeesWhatIsLateLostOrSteppedBack() {
+        List<Acknowledged> changes = List.of(change(1, SECOND), change(2, 2 * SECOND));
+        assertEquals(List.of(), judged(List.of(), changes, "1100000 g n 1 1", "2100000 g n 1 2"));
+        assertEquals(List.of(), judged(List.of(), changes, "2100000 g n 1 2"), "the later one stands for both");
+        assertFalse(judged(List.of(), changes, "1100000 g n 1 1").isEmpty(), "the second was lost");
+        assertFalse(judged(List.of(), changes, "1100000 g n 1 1", "17000000 g n 1 2").isEmpty(), "it was late");
+        assertTrue(judged(List.of(), changes, "1 g n 1 2", "2 g n 1 1").get(0).startsWith("step back"));
+        assertEquals(List.of(), judged(List.of(), changes, "1 life begins", "5 g n 1 2", "6 life begins", "7 g n 1 1",
+                "8 g n 1 2"), "another life begins with what was kept");
+    }
+
+    @Test
+    void aCutMovesTheBoundToItsEndForItsZoneAlone() {
+        List<Acknowledged> changes = List.of(change(1, SECOND));
+        Cut own = new Cut("z0", SECOND / 2, 20 * SECOND);
+        Cut other = new Cut("z1", SECOND / 2, 20 * SECOND);
+        assertEquals(List.of(), judged(List.of(own), changes, "33000000 g n 1 1"));
+        assertFalse(judged(List.of(own), changes, "35000000 g n 1 1").isEmpty());
+        assertFalse(judged(List.of(other), changes, "33000000 g n 1 1").isEmpty());
+    }
+
+    @Test
+    void whatWasRemovedHasToGo() {
+        Acknowledged removal = new Acknowledged("n", new Version(1, 2), true, 2 * SECOND);
+        assertEquals(List.of(),
+                judged(List.of(), List.of(change(1, SECOND), removal), "1100000 g n 1 1", "2100000 g n"));
+        assertFalse(judged(List.of(), List.of(change(1, SECOND), removal), "1100000 g n 1 1").isEmpty());
+    }
+}
