--- a/gateway/src/main/java/shelffront/admin/AdminServer.java
+++ b/gateway/src/main/java/shelffront/admin/AdminServer.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeoutException;
 import shelffront.admin.Tokens.Caller;
 import shelffront.engine.OperatorException;
+import shelffront.fleetconfig.DistributionException.RecordTooLarge;
 import shelffront.net.Log;
 import shelffront.stages.StageException;
 import shelffront.store.Store;
@@ -221,7 +222,7 @@
         } catch (OperatorException e) {
             int status = e instanceof StageException.Contended ? 409
                     : e instanceof StageException.UnknownSubject ? 404
-                            : e instanceof StageException ? 422 : 503;
+                            : e instanceof StageException || e instanceof RecordTooLarge ? 422 : 503;
             throw new Problem(status, e.code(), e.getMessage() + ". " + e.advice());
         } catch (SpecException e) {
             throw Problem.invalid(e);
--- a/gateway/src/main/java/shelffront/admin/FleetCalls.java
+++ b/gateway/src/main/java/shelffront/admin/FleetCalls.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import shelffront.distribution.Version;
-import shelffront.engine.EngineException;
 import shelffront.engine.OperatorException;
 import shelffront.fleetconfig.FleetRecords;
 import shelffront.stages.Stages;
@@ -19,8 +18,8 @@
 
         FleetRecords.Status status();
 
-        /** Null where this gateway has no way to the engine. */
-        Version beginIncarnation() throws EngineException;
+        /** What the engine holds is the truth from here on. */
+        Version beginIncarnation() throws OperatorException;
     }
 
     private final Stages stages;
@@ -63,11 +62,7 @@
         }
         if (parts.length == 4 && parts[3].equals("incarnation")) {
             AdminServer.only(method, "POST");
-            Version version = distribution.beginIncarnation();
-            if (version == null) {
-                throw new Problem(409, "No engine", "this gateway has no engine in its settings");
-            }
-            return Answer.of(200, put(SpecJson.JSON.createObjectNode(), version));
+            return Answer.of(200, put(SpecJson.JSON.createObjectNode(), distribution.beginIncarnation()));
         }
         if (parts.length != 3) {
             throw Problem.notFound();
--- a/gateway/src/main/java/shelffront/fleetconfig/ChangeStore.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/ChangeStore.java
@@ -19,6 +19,7 @@
 import shelffront.engine.EngineException;
 import shelffront.engine.EngineException.EngineGarbled;
 import shelffront.fleetconfig.DistributionException.EngineSteppedBack;
+import shelffront.fleetconfig.DistributionException.RecordTooLarge;
 
 /**
  * The records and their history in the engine. One transaction writes a record, the log entry of its change and the
@@ -34,6 +35,9 @@
     /** Changes that can be read one by one; whoever lacks more reads all records. */
     public static final int LOG_SLOTS = 1024;
 
+    /** Characters of a document; the engine takes values of 512 KB, and holds them in base 64. */
+    public static final int GREATEST_DOCUMENT = 256 << 10;
+
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int MOST_TRIES = 20;
 
@@ -177,7 +181,10 @@
      * @param seen the newest version that this process has seen
      */
     public Version write(String name, long expectedSequence, String document, Version seen)
-            throws EngineException, RecordChanged, EngineSteppedBack {
+            throws EngineException, RecordChanged, EngineSteppedBack, RecordTooLarge {
+        if (document != null && document.length() > GREATEST_DOCUMENT) {
+            throw new RecordTooLarge(name, document.length());
+        }
         for (int i = 0; i < MOST_TRIES; i++) {
             Head head = head();
             if (head.version().isBefore(seen)) {
--- a/gateway/src/main/java/shelffront/fleetconfig/DistributionException.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/DistributionException.java
@@ -56,6 +56,29 @@
         }
     }
 
+    /** A record is larger than the engine takes. */
+    public static final class RecordTooLarge extends DistributionException {
+
+        private static final long serialVersionUID = 1L;
+
+        RecordTooLarge(String name, int characters) {
+            super("record-too-large", name + " has " + characters + " characters, more than "
+                    + ChangeStore.GREATEST_DOCUMENT,
+                    "Give it fewer hosts, or let it have them from discovery.", null);
+        }
+    }
+
+    /** This gateway has no way to the engine. */
+    public static final class NoEngine extends DistributionException {
+
+        private static final long serialVersionUID = 1L;
+
+        public NoEngine() {
+            super("no-engine", "this gateway has no engine in its settings",
+                    "Make the change at a gateway that has one.", null);
+        }
+    }
+
     /** No distributor answers. */
     public static final class DistributorUnreachable extends DistributionException {
 
--- a/gateway/src/main/java/shelffront/hosted/FleetTenantRecords.java
+++ b/gateway/src/main/java/shelffront/hosted/FleetTenantRecords.java
@@ -12,6 +12,7 @@
 import shelffront.engine.OperatorException;
 import shelffront.fleetconfig.ChangeStore;
 import shelffront.fleetconfig.ChangeStore.RecordChanged;
+import shelffront.fleetconfig.DistributionException.NoEngine;
 import shelffront.fleetconfig.FleetRecords;
 import shelffront.store.Store.Audit;
 import shelffront.store.Store.ConflictException;
@@ -30,7 +31,7 @@
     static final String PREFIX = "tenant/";
     private static final int MOST_AUDITS = 10_000;
 
-    private final ChangeStore engine;
+    private final ChangeStore engine; // null where this gateway has no way to it
     private final FleetRecords records;
     private final ArrayDeque<Audit> audits = new ArrayDeque<>();
 
@@ -39,6 +40,13 @@
         this.records = records;
     }
 
+    private ChangeStore engine() throws NoEngine {
+        if (engine == null) {
+            throw new NoEngine();
+        }
+        return engine;
+    }
+
     private static Entry entry(Change record) {
         try {
             return new Entry(record.name().substring(PREFIX.length()), record.version().sequence(),
@@ -50,13 +58,13 @@
 
     @Override
     public Entry get(String id) throws OperatorException {
-        Change record = engine.record(PREFIX + id);
+        Change record = engine().record(PREFIX + id);
         return record == null ? null : entry(record);
     }
 
     @Override
     public List<Entry> all() throws OperatorException {
-        return engine.readAll().snapshot().records().stream().filter(r -> r.name().startsWith(PREFIX))
+        return engine().readAll().snapshot().records().stream().filter(r -> r.name().startsWith(PREFIX))
                 .map(FleetTenantRecords::entry).toList();
     }
 
@@ -64,7 +72,7 @@
     public long put(String id, long expected, JsonNode document, String who, String what, long at)
             throws ConflictException, OperatorException {
         try {
-            Version version = engine.write(PREFIX + id, expected, document == null ? null : document.toString(),
+            Version version = engine().write(PREFIX + id, expected, document == null ? null : document.toString(),
                     records.version());
             synchronized (audits) {
                 audits.addLast(new Audit(version.sequence(), expected, at, who, what, Kind.TENANT, id));
--- a/gateway/src/main/java/shelffront/hosted/FleetTenants.java
+++ b/gateway/src/main/java/shelffront/hosted/FleetTenants.java
@@ -12,6 +12,7 @@
 import shelffront.distribution.Version;
 import shelffront.engine.EngineException;
 import shelffront.fleetconfig.ChangeStore;
+import shelffront.fleetconfig.DistributionException.NoEngine;
 import shelffront.fleetconfig.DistributorRole;
 import shelffront.fleetconfig.FleetRecords;
 import shelffront.fleetconfig.FleetRecordsConfig;
@@ -50,18 +51,21 @@
         records.start();
     }
 
-    /** Where administrators change tenants; null where this gateway has no way to the engine. */
+    /** Where administrators change tenants; each call is refused where this gateway has no way to the engine. */
     TenantRecords administration() {
-        return engine == null ? null : new FleetTenantRecords(engine, records);
+        return new FleetTenantRecords(engine, records);
     }
 
     FleetRecords.Status status() {
         return records.status();
     }
 
-    /** What the engine holds is the truth from here on, after it was restored from older data; null: no engine. */
-    Version beginIncarnation() throws EngineException {
-        return engine == null ? null : engine.beginIncarnation();
+    /** What the engine holds is the truth from here on, after it was restored from older data. */
+    Version beginIncarnation() throws EngineException, NoEngine {
+        if (engine == null) {
+            throw new NoEngine();
+        }
+        return engine.beginIncarnation();
     }
 
     /**
--- a/gateway/src/main/java/shelffront/hosted/Hosted.java
+++ b/gateway/src/main/java/shelffront/hosted/Hosted.java
@@ -17,7 +17,6 @@
 import shelffront.distribution.Version;
 import shelffront.engine.ConsulEngine;
 import shelffront.engine.Engine;
-import shelffront.engine.EngineException;
 import shelffront.engine.OperatorException;
 import shelffront.fleetconfig.FleetRecords;
 import shelffront.gateway.Gateway;
@@ -84,10 +83,8 @@
     }
 
     private Tenancy tenancy() {
-        TenantRecords shared = fleetTenants == null ? null : fleetTenants.administration();
-        return shared == null
-                ? new Tenancy(store, this, System::currentTimeMillis)
-                : new Tenancy(shared, this, System::currentTimeMillis);
+        TenantRecords records = fleetTenants == null ? TenantRecords.in(store) : fleetTenants.administration();
+        return new Tenancy(records, this, System::currentTimeMillis);
     }
 
     /** A call of the engine has a quarter of a lease: a renewal that fails leaves time for others. */
@@ -203,7 +200,7 @@
     }
 
     @Override
-    public Version beginIncarnation() throws EngineException {
+    public Version beginIncarnation() throws OperatorException {
         return fleetTenants.beginIncarnation();
     }
 
--- a/gateway/src/test/java/shelffront/cli/CliTest.java
+++ b/gateway/src/test/java/shelffront/cli/CliTest.java
@@ -32,6 +32,7 @@
         assertEquals(1, config.tenants().size());
         assertEquals(0, Cli.run("config", "check", "../deploy/shelffront.jsonnet"));
         assertEquals(0, Cli.run("config", "check", "../deploy/fleet.jsonnet"));
+        assertEquals(0, Cli.run("config", "check", "../deploy/distribution.jsonnet"));
     }
 
     @Test
--- a/gateway/src/test/java/shelffront/fleetconfig/ChangeStoreTest.java
+++ b/gateway/src/test/java/shelffront/fleetconfig/ChangeStoreTest.java
@@ -5,7 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import org.junit.jupiter.api.Test;
 import shelffront.distribution.Change;
 import shelffront.distribution.Version;
@@ -104,4 +107,22 @@
         assertTrue(seen.version().isBefore(record.version()), "it replaces what is newer by its sequence alone");
         assertEquals(2, put("a", 1, "next").sequence());
     }
+
+    @Test
+    void aDocumentThatTheEngineCantHoldIsRefused() {
+        assertThrows(DistributionException.RecordTooLarge.class,
+                () -> put("a", 0, "x".repeat(ChangeStore.GREATEST_DOCUMENT + 1)));
+    }
+
+    /** Each error that there is stands on the page with its code. */
+    @Test
+    void theOperatorsPageNamesEveryError() throws Exception {
+        String page = Files.readString(Path.of("../docs/operators/distribution.md"));
+        List<Class<?>> kinds = List.of(DistributionException.class.getPermittedSubclasses());
+        assertEquals(8, kinds.size());
+        for (Class<?> kind : kinds) {
+            String code = kind.getSimpleName().replaceAll("(?<=.)([A-Z])", "-$1").toLowerCase(Locale.ROOT);
+            assertTrue(page.contains("| `" + code + "` |"), code);
+        }
+    }
 }
--- a/lab/src/main/java/shelffront/lab/fleet/ClientProbe.java
+++ b/lab/src/main/java/shelffront/lab/fleet/ClientProbe.java
@@ -72,14 +72,20 @@
         }
     }
 
+    /** Connects and names a database; the answer is to be read. */
+    static Socket open(String address, String database) throws IOException {
+        String[] at = address.split(":");
+        Socket socket = new Socket(at[0], Integer.parseInt(at[1]));
+        socket.setSoTimeout(MOST_MILLIS);
+        byte[] parameters = ("user\0api\0database\0" + database + "\0\0").getBytes(UTF_8);
+        socket.getOutputStream().write(ByteBuffer.allocate(8 + parameters.length).putInt(8 + parameters.length)
+                .putInt(PROTOCOL_3).put(parameters).array());
+        return socket;
+    }
+
     /** Whether the gateway lets a client of this tenant in. */
     private boolean isServed(String database) {
-        String[] at = address.split(":");
-        try (Socket socket = new Socket(at[0], Integer.parseInt(at[1]))) {
-            socket.setSoTimeout(MOST_MILLIS);
-            byte[] parameters = ("user\0api\0database\0" + database + "\0\0").getBytes(UTF_8);
-            socket.getOutputStream().write(ByteBuffer.allocate(8 + parameters.length).putInt(8 + parameters.length)
-                    .putInt(PROTOCOL_3).put(parameters).array());
+        try (Socket socket = open(address, database)) {
             DataInputStream in = new DataInputStream(socket.getInputStream());
             int type = in.readUnsignedByte();
             in.readInt();
--- a/lab/src/main/java/shelffront/lab/fleet/ScaledFleet.java
+++ b/lab/src/main/java/shelffront/lab/fleet/ScaledFleet.java
@@ -35,6 +35,7 @@
 
     static final String FLEET = "scale";
     private static final int HEAP_MB = 256;
+    private static final int REAL_HEAP_MB = 72; // as the platform's line has it
     private static final Duration MOST = Duration.ofSeconds(120);
     private static final Duration ENGINE_CALL = Duration.ofMillis(1500);
     private static final Pattern CURRENT = Pattern.compile("all current after ([0-9]+) ms");
@@ -61,13 +62,15 @@
     final class Part {
 
         final String name;
+        private final int heapMb;
         private final Class<?> main;
         private final String[] arguments;
         private JavaProcess process;
         private int starts;
 
-        private Part(String name, Class<?> main, String... arguments) throws IOException {
+        private Part(String name, int heapMb, Class<?> main, String... arguments) throws IOException {
             this.name = name;
+            this.heapMb = heapMb;
             this.main = main;
             this.arguments = arguments;
             start();
@@ -75,7 +78,7 @@
 
         void start() throws IOException {
             starts++;
-            process = JavaProcess.start(main, HEAP_MB, directory.resolve(name + "." + starts + ".log"), arguments);
+            process = JavaProcess.start(main, heapMb, directory.resolve(name + "." + starts + ".log"), arguments);
         }
 
         JavaProcess process() {
@@ -113,7 +116,8 @@
         Files.createDirectories(directory);
         Path state = directory.resolve("engine.state");
         fill(state);
-        engine = new Part("engine", LabMain.class, "consul-stand-in", "--port", Integer.toString(freePort()), "--file",
+        engine = new Part("engine", HEAP_MB, LabMain.class, "consul-stand-in", "--port", Integer.toString(freePort()),
+                "--file",
                 state.toString());
         await("the engine is up", () -> engine.process().found(LISTENS) != null);
         engineAddress = "127.0.0.1:" + engine.process().found(LISTENS);
@@ -183,7 +187,7 @@
     private Part distribute(String name, ObjectNode config) throws IOException {
         Path file = directory.resolve(name + ".json");
         Files.writeString(file, config.toString());
-        return new Part(name, Main.class, "distribute", "--config", file.toString());
+        return new Part(name, HEAP_MB, Main.class, "distribute", "--config", file.toString());
     }
 
     /** Addresses are given by the system, and kept: a distributor that starts again listens where it did. */
@@ -240,7 +244,7 @@
         if (keeps) {
             arguments.addAll(List.of("--history", history(zone).toString()));
         }
-        return new Part(name, LabMain.class, arguments.toArray(String[]::new));
+        return new Part(name, HEAP_MB, LabMain.class, arguments.toArray(String[]::new));
     }
 
     /** What came into force at the hollow gateways of a zone, in its order; kept over restarts. */
@@ -268,7 +272,7 @@
         config.set("distribution", gateway("real" + number, number % size.zones()));
         Path file = directory.resolve("real" + number + ".json");
         Files.writeString(file, config.toString());
-        return new Part("real" + number, Main.class, "serve", "--config", file.toString());
+        return new Part("real" + number, REAL_HEAP_MB, Main.class, "serve", "--config", file.toString());
     }
 
     /** Waits until every hollow gateway has all that it follows. */
--- a/lab/src/main/java/shelffront/lab/rig/ConsulStandIn.java
+++ b/lab/src/main/java/shelffront/lab/rig/ConsulStandIn.java
@@ -64,6 +64,7 @@
             load();
         }
         out = Files.newBufferedWriter(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+        System.setProperty("sun.net.httpserver.nodelay", "true"); // else each answer waits 40 ms for an ACK
         HttpServer server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), 256);
         server.setExecutor(Executors.newCachedThreadPool());
         server.createContext("/v1/kv/", this::kv);
