--- a/core/src/main/java/shelffront/share/Rounds.java
+++ b/core/src/main/java/shelffront/share/DeficitRoundRobin.java
@@ -7,7 +7,7 @@
  * a flow whose credit is used up waits until it has had its rounds. Items of one flow keep their order. A flow alone
  * is never held back.
  */
-public final class Rounds<T> {
+public final class DeficitRoundRobin<T> {
 
     /** The most that a flow may owe, in rounds of its own: bounds how long it waits for what its items cost. */
     private static final long MOST_QUANTA = 64;
@@ -36,7 +36,7 @@
     private int waiting; // items of all flows
 
     /** The quantum is the cost that a flow of weight 1 may run up in a round. */
-    public Rounds(long quantum) {
+    public DeficitRoundRobin(long quantum) {
         this.quantum = quantum;
     }
 
--- a/core/src/main/java/shelffront/stage/Holder.java
+++ b/core/src/main/java/shelffront/stage/Holder.java
@@ -11,13 +11,13 @@
 public final class Holder {
 
     /** What it wants done at the engine. */
-    public sealed interface Wish {}
+    public sealed interface Action {}
 
     /** Put this at its key where the key has that index; index 0: where there is none. */
-    public record Write(long index, Member member) implements Wish {}
+    public record Write(long index, Member member) implements Action {}
 
     /** Read its own key: what became of a write is not known. */
-    public record Look() implements Wish {}
+    public record Look() implements Action {}
 
     private final Bounds bounds;
     private final Set<Rule> off;
@@ -81,7 +81,7 @@
      *
      * @param oldestOpen the oldest epoch under which anything of it still acts; the greatest number where nothing does
      */
-    public Wish wish(long now, long oldestOpen) {
+    public Action action(long now, long oldestOpen) {
         if (unsure) {
             return new Look();
         }
@@ -90,7 +90,7 @@
         return index == 0 || epoch > acknowledged || now >= renewAt ? new Write(index, new Member(epoch, false)) : null;
     }
 
-    /** When it has to be asked again for a wish, if nothing happens before but the end of acts. */
+    /** When it has to be asked again for a action, if nothing happens before but the end of acts. */
     public long wakeAt() {
         return renewAt;
     }
--- a/core/src/main/java/shelffront/stage/Owner.java
+++ b/core/src/main/java/shelffront/stage/Owner.java
@@ -17,16 +17,16 @@
     public record Seen(Member member, long index) {}
 
     /** What it wants done at the engine, in this order; each only where the key still has the index. */
-    public sealed interface Wish {}
+    public sealed interface Action {}
 
     /** Move the subject on. */
-    public record Move(long index, Standing to) implements Wish {}
+    public record Move(long index, Standing to) implements Action {}
 
     /** Put an end to a membership that holds up a move. */
-    public record Revoke(String key, long index, Member revoked) implements Wish {}
+    public record Revoke(String key, long index, Member revoked) implements Action {}
 
     /** Take away the mark of one whose lease has lapsed for sure. */
-    public record Forget(String key, long index) implements Wish {}
+    public record Forget(String key, long index) implements Action {}
 
     /** Since when a member's key has had the same index, by the owner's clock. */
     private record Since(long index, long at) {}
@@ -37,17 +37,17 @@
     private final Bounds bounds;
     private final Set<Rule> off;
     private final Map<String, Since> since;
-    private final List<Wish> wishes;
+    private final List<Action> actions;
     private final List<String> waitsFor;
     private final long lookedAt;
     private final long wakeAt;
 
-    private Owner(Bounds bounds, Set<Rule> off, Map<String, Since> since, List<Wish> wishes, List<String> waitsFor,
+    private Owner(Bounds bounds, Set<Rule> off, Map<String, Since> since, List<Action> actions, List<String> waitsFor,
             long lookedAt, long wakeAt) {
         this.bounds = bounds;
         this.off = off;
         this.since = since;
-        this.wishes = wishes;
+        this.actions = actions;
         this.waitsFor = waitsFor;
         this.lookedAt = lookedAt;
         this.wakeAt = wakeAt;
@@ -62,8 +62,8 @@
         return new Owner(bounds, off, Map.of(), List.of(), List.of(), Long.MIN_VALUE / 2, Long.MAX_VALUE);
     }
 
-    public List<Wish> wishes() {
-        return wishes;
+    public List<Action> actions() {
+        return actions;
     }
 
     /** Keys of the members that a move waits for; empty where none is wanted or nothing holds it up. */
@@ -76,7 +76,7 @@
         return wakeAt;
     }
 
-    /** The same, its wishes done or given up. */
+    /** The same, its actions done or given up. */
     public Owner done() {
         return new Owner(bounds, off, since, List.of(), waitsFor, lookedAt, wakeAt);
     }
@@ -89,7 +89,7 @@
      */
     public Owner looked(long now, Standing standing, long index, Map<String, Seen> members) {
         Map<String, Since> known = new TreeMap<>();
-        List<Wish> next = new ArrayList<>();
+        List<Action> next = new ArrayList<>();
         List<String> waits = new ArrayList<>();
         boolean wanted = standing.stage() != standing.target();
         // Guards against blaming members for a time in which nobody reached the engine: they renew as it comes back.
@@ -138,6 +138,6 @@
         StringBuilder text = new StringBuilder();
         since.forEach((key, s) -> text.append(key).append(s.index()).append('@')
                 .append(Math.min(now - s.at(), Math.max(bounds.suspect(), bounds.lapse()))).append(' '));
-        return text.append(wishes).append(Math.min(now - lookedAt, bounds.suspect())).toString();
+        return text.append(actions).append(Math.min(now - lookedAt, bounds.suspect())).toString();
     }
 }
--- a/core/src/test/java/shelffront/share/RoundsTest.java
+++ b/core/src/test/java/shelffront/share/DeficitRoundRobinTest.java
@@ -10,13 +10,13 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
-import shelffront.share.Rounds.Flow;
+import shelffront.share.DeficitRoundRobin.Flow;
 
-class RoundsTest {
+class DeficitRoundRobinTest {
 
     @Test
     void aFloodedFlowDoesNotHoldUpAnother() {
-        Rounds<String> rounds = new Rounds<>(100);
+        DeficitRoundRobin<String> rounds = new DeficitRoundRobin<>(100);
         Flow<String> flood = new Flow<>(1);
         Flow<String> calm = new Flow<>(1);
         for (int i = 0; i < 10_000; i++) {
@@ -33,7 +33,7 @@
 
     @Test
     void itemsOfOneFlowKeepTheirOrderAndAreAllGiven() {
-        Rounds<Integer> rounds = new Rounds<>(10);
+        DeficitRoundRobin<Integer> rounds = new DeficitRoundRobin<>(10);
         Flow<Integer> one = new Flow<>(0.5);
         for (int i = 0; i < 100; i++) {
             rounds.add(one, i);
@@ -50,7 +50,7 @@
     @Property(tries = 200, seed = "2026")
     void costFollowsWeights(@ForAll @IntRange(min = 1, max = 8) int weight,
             @ForAll @Size(min = 1, max = 20) List<@IntRange(min = 1, max = 500) Integer> costs) {
-        Rounds<Integer> rounds = new Rounds<>(100);
+        DeficitRoundRobin<Integer> rounds = new DeficitRoundRobin<>(100);
         List<Flow<Integer>> flows = List.of(new Flow<>(1), new Flow<>(weight));
         flows.forEach(f -> rounds.add(f, flows.indexOf(f)));
         double[] spent = new double[2];
--- a/core/src/test/java/shelffront/stage/StageModel.java
+++ b/core/src/test/java/shelffront/stage/StageModel.java
@@ -166,7 +166,7 @@
         for (int i = 0; i < gateways; i++) {
             Gateway g = new Gateway(0, Holder.absent(bounds, off), 0, null, 0, null, 0, false, 0, null, 0);
             for (int write = 0; joined && write < 2; write++) {
-                Holder.Write w = (Holder.Write) g.holder().wish(0, Long.MAX_VALUE);
+                Holder.Write w = (Holder.Write) g.holder().action(0, Long.MAX_VALUE);
                 engine = engine.put(g.key(i), w.index(), w.member(), true);
                 g = g.with(g.holder().written(0, 0, w, true, engine.members().get(g.key(i)).index()));
                 g = g.with(g.holder().heard(g.holder().term(), engine.standing()));
@@ -264,8 +264,8 @@
             to.accept(set(s, e, i, g.with(h.written(g.sentAt(), now, g.out(), g.taken(), g.answered())),
                     "hears late that its write was " + (g.taken() ? "" : "not ") + "taken"));
         } else {
-            Holder.Wish wish = h.wish(now, g.open() == null ? Long.MAX_VALUE : g.open().epoch());
-            if (wish instanceof Holder.Write w) {
+            Holder.Action action = h.action(now, g.open() == null ? Long.MAX_VALUE : g.open().epoch());
+            if (action instanceof Holder.Write w) {
                 Engine after = e.put(key, w.index(), w.member(), checked);
                 boolean taken = after != e;
                 long at = taken ? after.members().get(key).index() : 0;
@@ -278,7 +278,7 @@
                             new Loose(what, x -> x.put(key, w.index(), w.member(), checked))), s.faults() - 1,
                             what + " is held up and given up"));
                 }
-            } else if (wish instanceof Holder.Look) {
+            } else if (action instanceof Holder.Look) {
                 Owner.Seen seen = e.members().get(key);
                 to.accept(set(s, e, i, g.with(h.looked(now, seen == null ? null : seen.member(),
                         seen == null ? 0 : seen.index())), "looks at " + key));
@@ -336,12 +336,12 @@
             to.accept(set(s, e, i, m.with(m.owner().looked(m.clock(), standing, index, members)), s.loose(),
                     s.faults(), "ends its look"));
         }
-        for (Owner.Wish wish : m.owner().wishes()) {
-            UnaryOperator<Engine> effect = x -> effect(x, wish);
-            to.accept(set(s, effect.apply(e), i, m.with(m.owner().done()), s.loose(), s.faults(), wish.toString()));
+        for (Owner.Action action : m.owner().actions()) {
+            UnaryOperator<Engine> effect = x -> effect(x, action);
+            to.accept(set(s, effect.apply(e), i, m.with(m.owner().done()), s.loose(), s.faults(), action.toString()));
             if (s.faults() > 0) {
-                to.accept(set(s, e, i, m.with(m.owner().done()), plus(s.loose(), new Loose("the owner's " + wish,
-                        effect)), s.faults() - 1, wish + " is held up and given up"));
+                to.accept(set(s, e, i, m.with(m.owner().done()), plus(s.loose(), new Loose("the owner's " + action,
+                        effect)), s.faults() - 1, action + " is held up and given up"));
             }
         }
         if (s.faults() > 0) {
@@ -349,14 +349,14 @@
         }
     }
 
-    private Engine effect(Engine e, Owner.Wish wish) {
-        if (wish instanceof Owner.Move move) {
+    private Engine effect(Engine e, Owner.Action action) {
+        if (action instanceof Owner.Move move) {
             return e.stand(move.index(), move.to(), checked);
         }
-        if (wish instanceof Owner.Revoke r) {
+        if (action instanceof Owner.Revoke r) {
             return e.put(r.key(), r.index(), r.revoked(), checked);
         }
-        Owner.Forget f = (Owner.Forget) wish;
+        Owner.Forget f = (Owner.Forget) action;
         return e.forget(f.key(), f.index(), checked);
     }
 
--- a/core/src/test/java/shelffront/stage/StageTest.java
+++ b/core/src/test/java/shelffront/stage/StageTest.java
@@ -26,7 +26,7 @@
         assertEquals(new Standing(2, 1, 2), FIRST.next());
         assertEquals(new Standing(2, 1, 0), new Standing(1, 2, 0).next());
         assertEquals(new Standing(7, 2, 2), new Standing(7, 2, 2).next());
-        assertEquals(new Standing(1, 0, 1), FIRST.towards(1), "the epoch is that of a stage, not of a wish");
+        assertEquals(new Standing(1, 0, 1), FIRST.towards(1), "the epoch is that of a stage, not of a action");
     }
 
     @Test
@@ -41,7 +41,7 @@
     @Test
     void aMemberThatAcknowledgedLetsTheSubjectMove() {
         Owner owner = Owner.fresh(BOUNDS).looked(0, FIRST, 5, one(1, false, 9));
-        assertEquals(List.of(new Owner.Move(5, FIRST.next())), owner.wishes());
+        assertEquals(List.of(new Owner.Move(5, FIRST.next())), owner.actions());
         assertTrue(owner.waitsFor().isEmpty());
     }
 
@@ -50,41 +50,42 @@
         Owner owner = Owner.fresh(BOUNDS);
         for (int i = 0; i < 20; i++) {
             owner = owner.looked(i * 500, FIRST, 5, one(0, false, 9 + i / 2));
-            assertTrue(owner.wishes().isEmpty(), "it renews");
+            assertTrue(owner.actions().isEmpty(), "it renews");
             assertEquals(List.of("g"), owner.waitsFor());
         }
         for (int i = 20; i < 26; i++) {
             owner = owner.looked(i * 500, FIRST, 5, one(0, false, 18));
         }
-        assertEquals(List.of(new Owner.Revoke("g", 18, new Member(0, true))), owner.wishes());
+        assertEquals(List.of(new Owner.Revoke("g", 18, new Member(0, true))), owner.actions());
     }
 
     @Test
     void nobodyIsBlamedForATimeInWhichTheOwnerSawNothing() {
         Owner owner = Owner.fresh(BOUNDS).looked(0, FIRST, 5, one(0, false, 9));
         owner = owner.looked(60_000, FIRST, 5, one(0, false, 9));
-        assertTrue(owner.wishes().isEmpty(), "the engine was away; members renew as it comes back");
+        assertTrue(owner.actions().isEmpty(), "the engine was away; members renew as it comes back");
     }
 
     @Test
     void theMarkOfARevokedMemberGoesOnceItsLeaseHasLapsed() {
         Owner owner = Owner.fresh(BOUNDS).looked(0, FIRST, 5, one(0, true, 9));
-        assertTrue(owner.wishes().isEmpty());
+        assertTrue(owner.actions().isEmpty());
         assertEquals(BOUNDS.lapse(), owner.wakeAt());
         owner = owner.looked(BOUNDS.lapse(), FIRST, 5, one(0, true, 9));
-        assertEquals(List.of(new Owner.Move(5, FIRST.next()), new Owner.Forget("g", 9)), owner.wishes());
+        assertEquals(List.of(new Owner.Move(5, FIRST.next()), new Owner.Forget("g", 9)), owner.actions());
     }
 
     @Test
     void aHolderJoinsTakesUpWhatItReadsAndFallsBackByItself() {
         Holder h = Holder.absent(BOUNDS);
         assertNull(h.heard(1, FIRST).inForce(0), "no member yet");
-        Holder.Write join = assertInstanceOf(Holder.Write.class, h.wish(0, Long.MAX_VALUE));
+        Holder.Write join = assertInstanceOf(Holder.Write.class, h.action(0, Long.MAX_VALUE));
         h = h.written(0, 40, join, true, 3).heard(1, FIRST);
         assertEquals(FIRST, h.inForce(2_999));
         assertNull(h.inForce(3_000), "its lease ran from when it asked");
-        assertEquals(new Holder.Write(3, new Member(1, false)), h.wish(100, Long.MAX_VALUE), "it acknowledges at once");
-        assertNull(h.wish(100, 0), "not while something older goes on");
+        assertEquals(new Holder.Write(3, new Member(1, false)), h.action(100, Long.MAX_VALUE),
+                "it acknowledges at once");
+        assertNull(h.action(100, 0), "not while something older goes on");
         assertTrue(h.waitsForQuiet());
         Holder gone = h.unsure(100).looked(110, new Member(0, true), 4);
         assertNull(gone.inForce(110));
--- a/gateway/src/main/java/shelffront/hosted/Lanes.java
+++ b/gateway/src/main/java/shelffront/hosted/EventLoopGroup.java
@@ -35,28 +35,28 @@
  *
  * <p>Methods run on the first loop's thread unless they say otherwise.
  */
-final class Lanes implements Clients.Door {
+final class EventLoopGroup implements Clients.Door {
 
     /** Microseconds after which a tenant of a fleet that no client asked for is served here no longer. */
     private static final long FORGET_AFTER = 600_000_000;
 
-    private record Lane(Network network, Tenants tenants) {}
+    private record Member(Network network, Tenants tenants) {}
 
     /** Where a tenant lives. */
     private static final class Home {
 
         private TenantSpec spec;
-        private int lane;
+        private int loopIndex;
         private int clients; // connections handed over and not ended there
         private long usedAt; // when a client last named it
 
-        private Home(TenantSpec spec, int lane) {
+        private Home(TenantSpec spec, int loopIndex) {
             this.spec = spec;
-            this.lane = lane;
+            this.loopIndex = loopIndex;
         }
     }
 
-    private final List<Lane> lanes = new ArrayList<>();
+    private final List<Member> members = new ArrayList<>();
     private final List<Clients> clients = new ArrayList<>();
     private final List<Thread> threads = new ArrayList<>();
     private final Map<String, Home> homes = new HashMap<>();
@@ -66,22 +66,22 @@
     private Function<String, CompletableFuture<Boolean>> finder; // null where all tenants are known
     private Consumer<String> forget;
 
-    Lanes(HostedConfig config, Log log, Ground ground) throws IOException {
+    EventLoopGroup(HostedConfig config, Log log, Environment environment) throws IOException {
         Shares.Common shares = new Shares.Common(config.requestsPerSecond(), config.openRequests(), config.cores());
         Budget buffers = new Budget(config.bufferBytes());
         Holdings hostSockets = new Holdings(Gateway.hostSockets(config.sockets()));
         drained = new boolean[config.cores()];
         for (int i = 0; i < config.cores(); i++) {
             Counters counters = new Counters();
-            EventLoop loop = new EventLoop(ground.clock(), counters);
-            Network network = Network.open(loop, ground.channels().on(1), buffers, counters, log);
+            EventLoop loop = new EventLoop(environment.clock(), counters);
+            Network network = Network.open(loop, environment.channels().on(1), buffers, counters, log);
             Tenants tenants = new Tenants(network, new Shares(shares, i, loop.now()), hostSockets,
-                    ground.seed() + ((long) i << 20));
-            lanes.add(new Lane(network, tenants));
+                    environment.seed() + ((long) i << 20));
+            members.add(new Member(network, tenants));
         }
-        Network first = lanes.get(0).network();
-        placement = new Placement(lanes.size(), first.loop().now());
-        front = lanes.size() == 1 ? first : first.with(ground.channels().on(lanes.size()));
+        Network first = members.get(0).network();
+        placement = new Placement(members.size(), first.loop().now());
+        front = members.size() == 1 ? first : first.with(environment.channels().on(members.size()));
     }
 
     /** The first loop, as the listener sees it. */
@@ -91,21 +91,21 @@
 
     /** Each loop's own view, the listener's first. */
     List<Network> networks() {
-        return lanes.stream().map(Lane::network).toList();
+        return members.stream().map(Member::network).toList();
     }
 
     /** The listener's clients are those of the first loop. */
     void behind(Clients listening) {
         clients.add(listening);
-        for (Lane lane : lanes.subList(1, lanes.size())) {
-            clients.add(new Clients(lane.network(), lane.tenants()));
+        for (Member member : members.subList(1, members.size())) {
+            clients.add(new Clients(member.network(), member.tenants()));
         }
     }
 
     /** Starts the loops but the first, which its caller runs. */
     void start() {
-        for (int i = 1; i < lanes.size(); i++) {
-            EventLoop loop = lanes.get(i).network().loop();
+        for (int i = 1; i < members.size(); i++) {
+            EventLoop loop = members.get(i).network().loop();
             Thread thread = new Thread(() -> {
                 try {
                     loop.run();
@@ -123,12 +123,12 @@
         for (Thread thread : threads) {
             thread.join();
         }
-        lanes.forEach(l -> l.network().channels().shutdown());
+        members.forEach(l -> l.network().channels().shutdown());
         front.channels().shutdown();
     }
 
-    private EventLoop loop(int lane) {
-        return lanes.get(lane).network().loop();
+    private EventLoop loop(int loopIndex) {
+        return members.get(loopIndex).network().loop();
     }
 
     // ---- Tenants ----------------------------------------------------------------------------------------------
@@ -140,8 +140,8 @@
             homes.put(spec.id(), home);
         }
         home.spec = spec;
-        Tenants there = lanes.get(home.lane).tenants();
-        on(home.lane, () -> there.apply(spec, inForce));
+        Tenants there = members.get(home.loopIndex).tenants();
+        on(home.loopIndex, () -> there.apply(spec, inForce));
     }
 
     void remove(String id, LongConsumer gone) {
@@ -150,9 +150,9 @@
             gone.accept(front.loop().now());
             return;
         }
-        placement.left(home.lane, home.spec.weight());
-        Tenants there = lanes.get(home.lane).tenants();
-        on(home.lane, () -> there.remove(id, gone));
+        placement.left(home.loopIndex, home.spec.weight());
+        Tenants there = members.get(home.loopIndex).tenants();
+        on(home.loopIndex, () -> there.remove(id, gone));
     }
 
     /** Null is told where there is none of that name. */
@@ -162,21 +162,21 @@
             told.accept(null);
             return;
         }
-        Tenants there = lanes.get(home.lane).tenants();
-        on(home.lane, () -> told.accept(there.usage(id)));
+        Tenants there = members.get(home.loopIndex).tenants();
+        on(home.loopIndex, () -> told.accept(there.usage(id)));
     }
 
-    int lane(String id) {
+    int loopOf(String id) {
         Home home = homes.get(id);
-        return home == null ? -1 : home.lane;
+        return home == null ? -1 : home.loopIndex;
     }
 
     /** At once on this loop, or as a turn of another. */
-    private void on(int lane, Runnable task) {
-        if (lane == 0) {
+    private void on(int loopIndex, Runnable task) {
+        if (loopIndex == 0) {
             task.run();
         } else {
-            loop(lane).post(task);
+            loop(loopIndex).post(task);
         }
     }
 
@@ -184,9 +184,9 @@
     CompletableFuture<Hosted.Held> held() {
         CompletableFuture<Hosted.Held> sum = CompletableFuture.completedFuture(
                 new Hosted.Held(0, 0, new Counters()));
-        for (Lane lane : lanes) {
+        for (Member member : members) {
             CompletableFuture<Hosted.Held> one = new CompletableFuture<>();
-            Network network = lane.network();
+            Network network = member.network();
             network.loop().post(() -> {
                 Counters copy = new Counters();
                 copy.addAll(network.counters());
@@ -213,7 +213,7 @@
         long now = front.loop().now();
         List<String> unused = new ArrayList<>();
         homes.forEach((id, home) -> {
-            boolean alone = home.lane == 0 ? lanes.get(0).tenants().isAlone(id) : home.clients == 0;
+            boolean alone = home.loopIndex == 0 ? members.get(0).tenants().isAlone(id) : home.clients == 0;
             home.usedAt = alone && home.usedAt > 0 ? home.usedAt : now;
             if (now - home.usedAt > FORGET_AFTER) {
                 unused.add(id);
@@ -240,45 +240,45 @@
     @Override
     public Clients home(Map<String, String> startup, Clients here) {
         Home home = homes.get(Tenants.name(startup));
-        if (home == null || lanes.size() == 1) {
+        if (home == null || members.size() == 1) {
             return here; // who names nobody is told so here
         }
-        boolean alone = home.clients == 0 && (home.lane > 0 || lanes.get(0).tenants().isAlone(home.spec.id()));
+        boolean alone = home.clients == 0 && (home.loopIndex > 0 || members.get(0).tenants().isAlone(home.spec.id()));
         if (alone) {
             wake(home);
         }
-        if (home.lane == 0) {
+        if (home.loopIndex == 0) {
             return here;
         }
         home.clients++;
-        return clients.get(home.lane);
+        return clients.get(home.loopIndex);
     }
 
     @Override
     public void ended(Map<String, String> startup, Clients there) {
         Home home = homes.get(Tenants.name(startup));
         // One that was removed meanwhile, and came again, has other clients; none of them is counted twice.
-        if (home != null && clients.get(home.lane) == there && home.clients > 0) {
+        if (home != null && clients.get(home.loopIndex) == there && home.clients > 0) {
             home.clients--;
         }
     }
 
     /** Chooses a home for a tenant whose first client has come. */
     private void wake(Home home) {
-        long[] worked = new long[lanes.size()];
+        long[] worked = new long[members.size()];
         for (int i = 0; i < worked.length; i++) {
             worked[i] = loop(i).worked();
         }
         placement.seen(worked, front.loop().now());
-        int before = home.lane;
-        home.lane = placement.woken(before, home.spec.weight());
-        if (home.lane == before) {
+        int before = home.loopIndex;
+        home.loopIndex = placement.woken(before, home.spec.weight());
+        if (home.loopIndex == before) {
             return;
         }
         TenantSpec spec = home.spec;
-        Tenants left = lanes.get(before).tenants();
-        Tenants next = lanes.get(home.lane).tenants();
-        int to = home.lane;
+        Tenants left = members.get(before).tenants();
+        Tenants next = members.get(home.loopIndex).tenants();
+        int to = home.loopIndex;
         front.log().println("tenant " + spec.id() + " moves from loop " + before + " to " + to);
         CompletableFuture<Runnable> arrived = new CompletableFuture<>();
         on(to, () -> arrived.complete(next.arrive(spec)));
@@ -287,30 +287,30 @@
 
     @Override
     public boolean asksPassword(Map<String, String> startup) {
-        return lanes.get(0).tenants().asksPassword(startup);
+        return members.get(0).tenants().asksPassword(startup);
     }
 
     @Override
     public Clients.Taker admit(Map<String, String> startup) throws ProtocolException {
-        return lanes.get(0).tenants().admit(startup);
+        return members.get(0).tenants().admit(startup);
     }
 
     @Override
     public Clients.Taker admit(Map<String, String> startup, byte[] password) throws ProtocolException {
-        return lanes.get(0).tenants().admit(startup, password);
+        return members.get(0).tenants().admit(startup, password);
     }
 
     // ---- Stopping ---------------------------------------------------------------------------------------------
 
     /** Has the other loops drain, and says whether, when last asked, nothing was open on any. */
     boolean isDrained() {
-        boolean all = lanes.get(0).tenants().isEmpty();
-        for (int i = 1; i < lanes.size(); i++) {
-            int lane = i;
+        boolean all = members.get(0).tenants().isEmpty();
+        for (int i = 1; i < members.size(); i++) {
+            int loopIndex = i;
             loop(i).post(() -> {
-                clients.get(lane).drain();
-                boolean empty = clients.get(lane).isEmpty() && lanes.get(lane).tenants().isEmpty();
-                front.loop().post(() -> drained[lane] = empty);
+                clients.get(loopIndex).drain();
+                boolean empty = clients.get(loopIndex).isEmpty() && members.get(loopIndex).tenants().isEmpty();
+                front.loop().post(() -> drained[loopIndex] = empty);
             });
             all &= drained[i];
         }
@@ -319,13 +319,13 @@
 
     /** Closes the tenants of all loops and ends the others' turns. */
     void close() {
-        lanes.get(0).tenants().close(CloseReason.DRAINED);
-        for (int i = 1; i < lanes.size(); i++) {
-            Lane lane = lanes.get(i);
+        members.get(0).tenants().close(CloseReason.DRAINED);
+        for (int i = 1; i < members.size(); i++) {
+            Member member = members.get(i);
             loop(i).post(() -> {
-                lane.tenants().close(CloseReason.DRAINED);
-                front.log().println(lane.network().counters());
-                lane.network().loop().stop();
+                member.tenants().close(CloseReason.DRAINED);
+                front.log().println(member.network().counters());
+                member.network().loop().stop();
             });
         }
     }
--- a/gateway/src/main/java/shelffront/hosted/Hosted.java
+++ b/gateway/src/main/java/shelffront/hosted/Hosted.java
@@ -39,7 +39,7 @@
 
     private final Network network;
     private final EventLoop loop;
-    private final Lanes lanes;
+    private final EventLoopGroup loops;
     private final Gateway gateway;
     private final Store store;
     private final Tokens tokens;
@@ -49,25 +49,25 @@
     private final Stages stages; // null where this gateway is on its own
 
     public Hosted(HostedConfig config, Log log) throws IOException, SpecException {
-        this(config, log, Ground.machine());
+        this(config, log, Environment.machine());
     }
 
-    public Hosted(HostedConfig config, Log log, Ground ground) throws IOException, SpecException {
-        lanes = new Lanes(config, log, ground);
-        network = lanes.front();
+    public Hosted(HostedConfig config, Log log, Environment environment) throws IOException, SpecException {
+        loops = new EventLoopGroup(config, log, environment);
+        network = loops.front();
         loop = network.loop();
         store = config.store() == null ? Store.inMemory() : Store.open(config.store());
         try {
             tokens = new Tokens(store, System::currentTimeMillis);
             fleetTenants = config.distribution() == null ? null : new FleetTenants(config.distribution(), this, log);
             tenancy = tenancy();
-            gateway = new Gateway(network, config.listen(), config.sockets(), lanes, lanes::isDrained, lanes::close);
-            lanes.behind(gateway.clients());
+            gateway = new Gateway(network, config.listen(), config.sockets(), loops, loops::isDrained, loops::close);
+            loops.behind(gateway.clients());
             tenancy.start();
             seed(config);
             if (fleetTenants != null) {
                 fleetTenants.whenReached(tenancy::reached);
-                lanes.lookUpWith(fleetTenants::lookUp, fleetTenants::forget);
+                loops.lookUpWith(fleetTenants::lookUp, fleetTenants::forget);
             }
             stages = config.fleet() == null ? null : stages(config.fleet(), log);
             admin = config.admin() == null ? null
@@ -119,10 +119,10 @@
         if (fleetTenants != null) {
             fleetTenants.start();
         }
-        lanes.start();
+        loops.start();
         gateway.start();
         loop.run();
-        lanes.join();
+        loops.join();
         if (fleetTenants != null) {
             fleetTenants.close();
         }
@@ -142,7 +142,7 @@
 
     /** The loops' own views, the listener's first. */
     public List<Network> networks() {
-        return lanes.networks();
+        return loops.networks();
     }
 
     /** Runs on a thread of its own, which ends with {@link #drain}. */
@@ -184,14 +184,14 @@
     public record Held(int deadlines, long bufferBytes, Counters counters) {}
 
     public CompletableFuture<Held> held() {
-        return lanes.held();
+        return loops.held();
     }
 
     /** The event loop that a tenant lives on, by its number from 0; -1 where there is none of that name. */
-    public CompletableFuture<Integer> lane(String id) {
-        CompletableFuture<Integer> lane = new CompletableFuture<>();
-        loop.post(() -> lane.complete(lanes.lane(id)));
-        return lane;
+    public CompletableFuture<Integer> loopOf(String id) {
+        CompletableFuture<Integer> loopOf = new CompletableFuture<>();
+        loop.post(() -> loopOf.complete(loops.loopOf(id)));
+        return loopOf;
     }
 
     @Override
@@ -206,18 +206,18 @@
 
     @Override
     public void apply(TenantSpec spec, LongConsumer inForce) {
-        loop.post(() -> lanes.apply(spec, inForce));
+        loop.post(() -> loops.apply(spec, inForce));
     }
 
     @Override
     public void remove(String id, LongConsumer gone) {
-        loop.post(() -> lanes.remove(id, gone));
+        loop.post(() -> loops.remove(id, gone));
     }
 
     @Override
     public CompletableFuture<Tenant.Usage> usage(String id) {
         CompletableFuture<Tenant.Usage> usage = new CompletableFuture<>();
-        loop.post(() -> lanes.usage(id, usage::complete));
+        loop.post(() -> loops.usage(id, usage::complete));
         return usage;
     }
 }
--- a/gateway/src/main/java/shelffront/net/EventLoop.java
+++ b/gateway/src/main/java/shelffront/net/EventLoop.java
@@ -7,8 +7,8 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
-import shelffront.share.Rounds;
-import shelffront.share.Rounds.Flow;
+import shelffront.share.DeficitRoundRobin;
+import shelffront.share.DeficitRoundRobin.Flow;
 
 /**
  * The one thread that owns all state. Completion handlers only {@link #post} what they got; each turn takes what
@@ -42,7 +42,7 @@
 
     /** Bounded by what can be out: a read and a write for each connection, and one accept. */
     private final LinkedBlockingQueue<Result> results = new LinkedBlockingQueue<>();
-    private final Rounds<Runnable> rounds = new Rounds<>(QUANTUM);
+    private final DeficitRoundRobin<Runnable> rounds = new DeficitRoundRobin<>(QUANTUM);
     private final Flow<Runnable> common = new Flow<>(1);
     private final TreeSet<Deadline> deadlines = new TreeSet<>(
             Comparator.<Deadline>comparingLong(d -> d.at).thenComparingLong(d -> d.order));
--- a/gateway/src/main/java/shelffront/net/Network.java
+++ b/gateway/src/main/java/shelffront/net/Network.java
@@ -2,7 +2,7 @@
 
 import java.io.IOException;
 import java.nio.channels.AsynchronousSocketChannel;
-import shelffront.share.Rounds.Flow;
+import shelffront.share.DeficitRoundRobin.Flow;
 
 /**
  * What connections share: the event loop, the source of channels, the memory budget, counters and the log. Each tenant
--- a/gateway/src/main/java/shelffront/server/Errand.java
+++ b/gateway/src/main/java/shelffront/server/HostCall.java
@@ -4,7 +4,7 @@
 import shelffront.net.EventLoop.Deadline;
 
 /** What one host connection carries at a time: an attempt, or a probe where there is none. */
-final class Errand {
+final class HostCall {
 
     final String member;
     final Host host; // null where the list does not know the member
@@ -15,7 +15,7 @@
     HostConnection on;
     boolean over;
 
-    Errand(String member, Host host, Attempt attempt, long startedAt) {
+    HostCall(String member, Host host, Attempt attempt, long startedAt) {
         this.member = member;
         this.host = host;
         this.attempt = attempt;
--- a/gateway/src/main/java/shelffront/server/HostConnection.java
+++ b/gateway/src/main/java/shelffront/server/HostConnection.java
@@ -11,7 +11,7 @@
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
 
-/** A connection to a database host. It carries a single errand at a time and is closed to abandon one. */
+/** A connection to a database host. It carries a single call at a time and is closed to abandon one. */
 final class HostConnection extends Connection {
 
     private static final int GREATEST_GREETING = 8192;
@@ -25,7 +25,7 @@
     private Deadline idleUntil;
     private Deadline answerBy;
     private boolean ready;
-    private Errand errand;
+    private HostCall call;
     private boolean requestWritten;
     private boolean inPieces; // part of a message has come
     private boolean spoilt;
@@ -55,9 +55,9 @@
         return ready;
     }
 
-    void begin(Errand next, byte[] query) {
+    void begin(HostCall next, byte[] query) {
         cancel(idleUntil);
-        errand = next;
+        call = next;
         requestWritten = false;
         write(query);
     }
@@ -74,12 +74,12 @@
 
     @Override
     protected void written() {
-        requestWritten = errand != null;
+        requestWritten = call != null;
     }
 
-    /** Ends the errand's stay here by closing: a host connection never carries another after an open one. */
+    /** Ends the call's stay here by closing: a host connection never carries another after an open one. */
     void abandon(CloseReason reason) {
-        errand = null;
+        call = null;
         close(reason);
     }
 
@@ -94,7 +94,7 @@
             return;
         }
         inPieces = bytes.hasRemaining();
-        if (!isClosed() && errand != null && answerBy == null && (inPieces || answer.begun())) {
+        if (!isClosed() && call != null && answerBy == null && (inPieces || answer.begun())) {
             answerBy = network.loop().at(now() + ANSWER_TIME, () -> spoilt("it does not go on"));
         }
     }
@@ -132,7 +132,7 @@
         if (!bytes.hasRemaining()) {
             return false;
         }
-        if (errand == null) {
+        if (call == null) {
             close(CloseReason.SURPLUS);
             return false;
         }
@@ -159,8 +159,8 @@
     }
 
     private void finish(boolean surplus) {
-        Errand done = errand;
-        errand = null;
+        HostCall done = call;
+        call = null;
         Reply reply = answer.reply(done.attempt == null);
         dropAnswer();
         if (surplus) {
@@ -179,8 +179,8 @@
     protected void ended(CloseReason reason) {
         openBy.cancel();
         cancel(idleUntil);
-        Errand broken = errand;
-        errand = null;
+        HostCall broken = call;
+        call = null;
         Reply reply = null;
         if (broken != null) {
             boolean said = answer.whole() && !inPieces && !spoilt && reason != CloseReason.NO_MEMORY;
--- a/gateway/src/main/java/shelffront/server/Servers.java
+++ b/gateway/src/main/java/shelffront/server/Servers.java
@@ -49,7 +49,7 @@
     private final Listener listener;
     private final Map<String, Host> hosts = new TreeMap<>();
     /** In the order of their begin, so that closing all goes the same way each time. */
-    private final Map<Attempt, Errand> errands = new LinkedHashMap<>();
+    private final Map<Attempt, HostCall> calls = new LinkedHashMap<>();
     private boolean owes; // another tenant waits for a socket, and none of these was idle
 
     /** Each connection takes one of the sockets, divided by weight and bounded, while it is open. */
@@ -92,25 +92,25 @@
 
     public void start(Attempt attempt) {
         Host host = hosts.get(attempt.member);
-        Errand errand = new Errand(attempt.member, host, attempt, network.loop().now());
-        errands.put(attempt, errand);
-        errand.endBy = network.loop().at(attempt.exchange.deadline, () -> giveUp(errand, Status.TIMEOUT));
-        begin(errand);
+        HostCall call = new HostCall(attempt.member, host, attempt, network.loop().now());
+        calls.put(attempt, call);
+        call.endBy = network.loop().at(attempt.exchange.deadline, () -> giveUp(call, Status.TIMEOUT));
+        begin(call);
     }
 
     public void probe(String member) {
-        Errand errand = new Errand(member, hosts.get(member), null, network.loop().now());
+        HostCall call = new HostCall(member, hosts.get(member), null, network.loop().now());
         network.counters().add(Counters.Name.PROBES_SENT);
-        errand.endBy = network.loop().after(limits.connectTimeout(), () -> giveUp(errand, Status.TIMEOUT));
-        begin(errand);
+        call.endBy = network.loop().after(limits.connectTimeout(), () -> giveUp(call, Status.TIMEOUT));
+        begin(call);
     }
 
     /** Calls the attempt off; its outcome follows unless it is over already. */
     public void cancel(Attempt attempt) {
-        Errand errand = errands.get(attempt);
-        if (errand != null) {
-            abandon(errand, CloseReason.CANCELLED);
-            network.post(() -> finish(errand, Reply.of(Status.CANCELLED)));
+        HostCall call = calls.get(attempt);
+        if (call != null) {
+            abandon(call, CloseReason.CANCELLED);
+            network.post(() -> finish(call, Reply.of(Status.CANCELLED)));
         }
     }
 
@@ -128,9 +128,9 @@
             host.waiting.clear();
         }
         // Hosts that have left the list may still carry some.
-        for (Errand errand : List.copyOf(errands.values())) {
-            abandon(errand, reason);
-            finish(errand, Reply.of(Status.CANCELLED));
+        for (HostCall call : List.copyOf(calls.values())) {
+            abandon(call, reason);
+            finish(call, Reply.of(Status.CANCELLED));
         }
     }
 
@@ -138,10 +138,10 @@
         List.copyOf(host.idle).forEach(c -> c.close(reason));
     }
 
-    private void begin(Errand errand) {
-        Host host = errand.host;
+    private void begin(HostCall call) {
+        Host host = call.host;
         if (host == null) {
-            network.post(() -> finish(errand, Reply.of(Status.CONNECT_FAILED)));
+            network.post(() -> finish(call, Reply.of(Status.CONNECT_FAILED)));
             return;
         }
         HostConnection connection = host.idle.pollLast();
@@ -150,18 +150,18 @@
             connection = host.idle.pollLast();
         }
         if (connection != null) {
-            carry(connection, errand);
+            carry(connection, call);
             return;
         }
-        errand.connectBy = network.loop().after(limits.connectTimeout(),
-                () -> giveUp(errand, Status.CONNECT_FAILED));
-        host.waiting.add(errand);
+        call.connectBy = network.loop().after(limits.connectTimeout(),
+                () -> giveUp(call, Status.CONNECT_FAILED));
+        host.waiting.add(call);
         if (host.opening < host.waiting.size()) {
             open(host);
         }
     }
 
-    /** At the bound for sockets the errand waits for a connection of its host, or for a socket, to come free. */
+    /** At the bound for sockets the call waits for a connection of its host, or for a socket, to come free. */
     private void open(Host host) {
         Verdict verdict = sockets.take(false);
         if (verdict != Verdict.TAKEN && evict()) {
@@ -199,7 +199,7 @@
         }
     }
 
-    /** As many connections as errands wait for; false where no socket is left for them. */
+    /** As many connections as calls wait for; false where no socket is left for them. */
     private boolean openForWaiting(Host host) {
         while (host.opening < host.waiting.size()) {
             int before = host.opening;
@@ -236,7 +236,7 @@
         freed(connection);
     }
 
-    /** The connection carries nothing now: it takes the next errand or idles, for less than hosts allow. */
+    /** The connection carries nothing now: it takes the next call or idles, for less than hosts allow. */
     void freed(HostConnection connection) {
         Host host = connection.host;
         if (connection.isClosed()) {
@@ -247,10 +247,10 @@
             openForWaiting(host);
             return;
         }
-        Errand next = host.waiting.poll();
+        HostCall next = host.waiting.poll();
         // What the choice of one that waited rested on may hold no longer.
         while (next != null && next.attempt != null && !listener.mayStart(next.attempt)) {
-            Errand late = next;
+            HostCall late = next;
             network.post(() -> finish(late, Reply.of(Status.NOT_SENT)));
             next = host.waiting.poll();
         }
@@ -267,21 +267,21 @@
         }
     }
 
-    private void carry(HostConnection connection, Errand errand) {
-        if (errand.connectBy != null) {
-            errand.connectBy.cancel();
+    private void carry(HostConnection connection, HostCall call) {
+        if (call.connectBy != null) {
+            call.connectBy.cancel();
         }
-        errand.on = connection;
-        if (errand.attempt == null) {
-            connection.begin(errand, PROBE);
+        call.on = connection;
+        if (call.attempt == null) {
+            connection.begin(call, PROBE);
             return;
         }
-        errand.attempt.sentAt = network.loop().now();
-        long left = errand.attempt.exchange.deadline - network.loop().now();
-        connection.begin(errand, Message.query(errand.attempt.exchange.statement.withWait(Math.max(1, left / 1000))));
+        call.attempt.sentAt = network.loop().now();
+        long left = call.attempt.exchange.deadline - network.loop().now();
+        connection.begin(call, Message.query(call.attempt.exchange.statement.withWait(Math.max(1, left / 1000))));
     }
 
-    /** A connection that ends while it opens takes the errand that waited longest with it. */
+    /** A connection that ends while it opens takes the call that waited longest with it. */
     void ended(HostConnection connection) {
         Host host = connection.host;
         sockets.giveBack();
@@ -289,46 +289,46 @@
         host.idle.remove(connection);
         if (!connection.ready()) {
             host.opening--;
-            Errand first = host.waiting.poll();
+            HostCall first = host.waiting.poll();
             if (first != null) {
                 network.post(() -> finish(first, Reply.of(Status.CONNECT_FAILED)));
             }
         }
     }
 
-    private void giveUp(Errand errand, Status status) {
-        abandon(errand, CloseReason.TIMED_OUT);
-        if (errand.attempt == null && errand.host != null) {
+    private void giveUp(HostCall call, Status status) {
+        abandon(call, CloseReason.TIMED_OUT);
+        if (call.attempt == null && call.host != null) {
             // Guards against a machine that vanished and came back: its old connections look open and are dead,
             // and each would cost a request. Probes are answered beside the queue, so silence is no overload.
-            closeIdle(errand.host, CloseReason.SILENT);
+            closeIdle(call.host, CloseReason.SILENT);
         }
-        finish(errand, Reply.of(status));
+        finish(call, Reply.of(status));
     }
 
-    private void abandon(Errand errand, CloseReason reason) {
-        if (errand.on != null) {
-            errand.on.abandon(reason);
-        } else if (errand.host != null) {
-            errand.host.waiting.remove(errand);
+    private void abandon(HostCall call, CloseReason reason) {
+        if (call.on != null) {
+            call.on.abandon(reason);
+        } else if (call.host != null) {
+            call.host.waiting.remove(call);
         }
     }
 
-    void finish(Errand errand, Reply reply) {
-        if (errand.over) {
+    void finish(HostCall call, Reply reply) {
+        if (call.over) {
             return;
         }
-        errand.over = true;
-        errand.on = null;
-        errand.endBy.cancel();
-        if (errand.connectBy != null) {
-            errand.connectBy.cancel();
+        call.over = true;
+        call.on = null;
+        call.endBy.cancel();
+        if (call.connectBy != null) {
+            call.connectBy.cancel();
         }
-        if (errand.attempt != null) {
-            errands.remove(errand.attempt);
-            listener.ended(errand.attempt, reply);
+        if (call.attempt != null) {
+            calls.remove(call.attempt);
+            listener.ended(call.attempt, reply);
         } else {
-            listener.probed(errand.member, reply, network.loop().now() - errand.startedAt);
+            listener.probed(call.member, reply, network.loop().now() - call.startedAt);
         }
     }
 }
--- a/gateway/src/main/java/shelffront/stages/Stages.java
+++ b/gateway/src/main/java/shelffront/stages/Stages.java
@@ -42,7 +42,7 @@
     private static final long MOVING = 100_000;
 
     /** What is in force: a standing, until its lease lapses. */
-    private record Force(Standing standing, long until) {}
+    private record InForce(Standing standing, long until) {}
 
     /** One subject as this gateway has it; its holder is guarded by the shard's lock, the rest is read without. */
     private static final class Subject {
@@ -51,7 +51,7 @@
         private final List<String> stages;
         private final OpenActs open = new OpenActs();
         private Holder holder;
-        private volatile Force force;
+        private volatile InForce force;
         private volatile List<String> waitsFor = List.of(); // known where this gateway is owner
 
         private Subject(String name, List<String> stages, Bounds bounds) {
@@ -70,8 +70,8 @@
     private final Map<String, Subject> subjects = new HashMap<>();
     private final List<List<Subject>> shards = new ArrayList<>();
     private final List<Thread> threads = new ArrayList<>();
-    private final Map<String, String> said = new ConcurrentHashMap<>(); // the last complaint of each thread
-    private final Object ownerBell = new Object();
+    private final Map<String, String> lastErrors = new ConcurrentHashMap<>(); // the last complaint of each thread
+    private final Object ownerMonitor = new Object();
     private volatile boolean closed;
     private volatile boolean leads;
     private long beat; // of the owner's key; the owner's thread only
@@ -136,7 +136,7 @@
 
     /** What this gateway may act under at this moment; null: the safe stage. Waits for nothing. */
     public Standing inForce(String name) throws UnknownSubject {
-        Force force = subject(name).force;
+        InForce force = subject(name).force;
         return force != null && now() < force.until ? force.standing : null;
     }
 
@@ -153,13 +153,13 @@
     public Act begin(String name) throws UnknownSubject {
         Subject subject = subject(name);
         while (true) {
-            Force force = subject.force;
+            InForce force = subject.force;
             if (force == null || now() >= force.until) {
                 return null;
             }
             long epoch = force.standing.epoch();
             subject.open.enter(epoch);
-            Force after = subject.force;
+            InForce after = subject.force;
             // Guards against a stage that changed in between: its keeper may have looked before this act was counted.
             if (after != null && after.standing.epoch() == epoch) {
                 return act(subject, force.standing);
@@ -196,7 +196,7 @@
             for (Subject s : shard) {
                 try {
                     while (!closed && attend(shard, s)) {
-                        said.remove(s.name);
+                        lastErrors.remove(s.name);
                     }
                 } catch (EngineException e) {
                     complain(s.name, e);
@@ -213,11 +213,11 @@
         }
     }
 
-    private void pause(Object bell, long until) {
+    private void pause(Object monitor, long until) {
         long ms = Math.max(LEAST_PAUSE_MS, (until - now()) / 1000);
         try {
             if (!closed) {
-                bell.wait(ms);
+                monitor.wait(ms);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -225,20 +225,22 @@
         }
     }
 
-    /** Does what the subject's holder wishes; false where it wishes nothing now. The lock is not held during a call. */
+    /**
+     * Does what the subject's holder actions; false where it actions nothing now. The lock is not held during a call.
+     */
     private boolean attend(List<Subject> shard, Subject s) throws EngineException {
-        Holder.Wish wish;
+        Holder.Action action;
         String key;
         long sentAt = now();
         synchronized (shard) {
             publish(s); // before what is open is looked at: see begin
-            wish = s.holder.wish(sentAt, s.open.oldest());
+            action = s.holder.action(sentAt, s.open.oldest());
             key = prefix + "members/" + s.name + "/" + instance + "." + s.holder.term();
         }
-        if (wish == null) {
+        if (action == null) {
             return false;
         }
-        if (wish instanceof Holder.Look) {
+        if (action instanceof Holder.Look) {
             Value value = engine.read(key);
             Member member = value == null ? null : member(value);
             synchronized (shard) {
@@ -246,7 +248,7 @@
                 publish(s);
             }
         } else {
-            write(shard, s, key, (Holder.Write) wish, sentAt);
+            write(shard, s, key, (Holder.Write) action, sentAt);
         }
         take(shard, s);
         return true;
@@ -294,8 +296,8 @@
     private void publish(Subject s) {
         long now = now();
         Standing standing = s.holder.inForce(now);
-        Force next = standing == null ? null : new Force(standing, s.holder.leaseUntil());
-        Force before = s.force;
+        InForce next = standing == null ? null : new InForce(standing, s.holder.leaseUntil());
+        InForce before = s.force;
         if (next == null ? before != null : !next.equals(before)) {
             s.force = next;
             history.force(instance, s.name, standing, next == null ? now : next.until, now);
@@ -314,7 +316,7 @@
             try {
                 long last = index;
                 index = engine.watch(prefix + "standing/", index).index();
-                said.remove("watch");
+                lastErrors.remove("watch");
                 if (index < last) {
                     index = 0; // the engine began anew
                 }
@@ -327,8 +329,8 @@
                             shard.notifyAll();
                         }
                     }
-                    synchronized (ownerBell) {
-                        ownerBell.notifyAll();
+                    synchronized (ownerMonitor) {
+                        ownerMonitor.notifyAll();
                     }
                 }
             } catch (EngineException e) {
@@ -370,12 +372,12 @@
                         wake = Math.min(wake, move(owners, s));
                     }
                 }
-                said.remove("owner");
+                lastErrors.remove("owner");
             } catch (EngineException e) {
                 complain("owner", e);
             }
-            synchronized (ownerBell) {
-                pause(ownerBell, wake);
+            synchronized (ownerMonitor) {
+                pause(ownerMonitor, wake);
             }
         }
     }
@@ -397,19 +399,19 @@
         Owner owner = owners.getOrDefault(s.name, Owner.fresh(bounds)).looked(now(), standing, value.index(), seen);
         owners.put(s.name, owner.done());
         s.waitsFor = owner.waitsFor().stream().map(k -> k.substring(members.length())).toList();
-        for (Owner.Wish wish : owner.wishes()) {
-            if (wish instanceof Owner.Move m) {
+        for (Owner.Action action : owner.actions()) {
+            if (action instanceof Owner.Move m) {
                 if (engine.put(key, m.index(), text(s, m.to()))) {
                     history.moved(instance, s.name, m.to(), now());
                     log.println(
                             "moved " + s.name + " to " + s.stages.get(m.to().stage()) + ", epoch " + m.to().epoch());
                 }
-            } else if (wish instanceof Owner.Revoke r) {
+            } else if (action instanceof Owner.Revoke r) {
                 if (engine.put(r.key(), r.index(), text(r.revoked(), 0))) {
                     log.println("revoked " + r.key() + ", which did not renew; its lease may run for "
                             + bounds.lapse() / 1000 + " ms");
                 }
-            } else if (wish instanceof Owner.Forget f) {
+            } else if (action instanceof Owner.Forget f) {
                 engine.delete(f.key(), f.index());
             }
         }
@@ -504,7 +506,7 @@
 
     /** Says each thread's trouble once, until it is over or another. */
     private void complain(String who, EngineException e) {
-        if (!e.code().equals(said.put(who, e.code()))) {
+        if (!e.code().equals(lastErrors.put(who, e.code()))) {
             log.println("stages " + who + " " + e.code() + ": " + e.getMessage());
         }
     }
--- a/gateway/src/main/java/shelffront/tenant/Tenants.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenants.java
@@ -11,7 +11,7 @@
 import shelffront.net.Network;
 import shelffront.pg.ProtocolException;
 import shelffront.share.Holdings;
-import shelffront.share.Rounds.Flow;
+import shelffront.share.DeficitRoundRobin.Flow;
 import shelffront.share.Shares;
 
 /**
--- a/gateway/src/test/java/shelffront/tenant/TenantSleepTest.java
+++ b/gateway/src/test/java/shelffront/tenant/TenantSleepTest.java
@@ -23,7 +23,7 @@
 import shelffront.pg.ProtocolException;
 import shelffront.pg.Statement;
 import shelffront.route.Router;
-import shelffront.share.Rounds.Flow;
+import shelffront.share.DeficitRoundRobin.Flow;
 import shelffront.share.Shares;
 
 /** A tenant without boxes, on a clock of the test's: when it sleeps and when it must not. */
--- a/lab/src/main/java/shelffront/lab/carrier/Talker.java
+++ b/lab/src/main/java/shelffront/lab/carrier/ConnectionHandler.java
@@ -3,7 +3,7 @@
 import java.nio.ByteBuffer;
 
 /** One of the lab's own parties on a connection: takes what comes, at once, and writes as the window lets it. */
-public abstract class Talker implements Wire.Owner {
+public abstract class ConnectionHandler implements Wire.Owner {
 
     private static final int MOST = 1 << 20;
 
@@ -15,7 +15,7 @@
     private boolean stalled;
 
     /** Of a connection that was accepted. */
-    protected final Talker on(Wire accepted) {
+    protected final ConnectionHandler on(Wire accepted) {
         end = accepted;
         return this;
     }
--- a/lab/src/main/java/shelffront/lab/load/ClientTalker.java
+++ b/lab/src/main/java/shelffront/lab/load/ClientConnectionHandler.java
@@ -5,7 +5,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import shelffront.lab.carrier.Carrier;
-import shelffront.lab.carrier.Talker;
+import shelffront.lab.carrier.ConnectionHandler;
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
 
@@ -14,22 +14,22 @@
  *
  * @param <R> what stands for a request with those whose connection it is
  */
-public final class ClientTalker<R> extends Talker {
+public final class ClientConnectionHandler<R> extends ConnectionHandler {
 
     /** Whose connection it is. */
     public interface Caller<R> {
 
         /** It has been let in. */
-        default void welcomed(ClientTalker<R> by) {}
+        default void welcomed(ClientConnectionHandler<R> by) {}
 
         /** An answer: a code where it is an error, the value else; when it was told to come back, in microseconds. */
-        void answered(ClientTalker<R> by, R request, String value, String code, long retryAfter);
+        void answered(ClientConnectionHandler<R> by, R request, String value, String code, long retryAfter);
 
         /** Its time is up and nothing has come; the connection was given up. */
-        void late(ClientTalker<R> by, R request);
+        void late(ClientConnectionHandler<R> by, R request);
 
         /** The connection has ended, with a request open or null. */
-        void left(ClientTalker<R> by, R request, boolean reset);
+        void left(ClientConnectionHandler<R> by, R request, boolean reset);
 
         /** What no gateway may send. */
         void malformed(String why);
@@ -49,7 +49,8 @@
     private boolean asksNothing;
 
     /** Connects as a user to a database; the password is null where none is to be asked for. */
-    public ClientTalker(Carrier carrier, InetSocketAddress gateway, String user, String database, String password,
+    public ClientConnectionHandler(Carrier carrier, InetSocketAddress gateway, String user, String database,
+            String password,
             Caller<R> caller) {
         this.carrier = carrier;
         this.caller = caller;
--- a/lab/src/main/java/shelffront/lab/load/Load.java
+++ b/lab/src/main/java/shelffront/lab/load/Load.java
@@ -22,7 +22,7 @@
  * became of those before, and a request's time counts from when it was due (Tene, "How not to measure latency"). So
  * many connections carry it; where all are busy a request waits, and that counts too.
  */
-public final class Load implements ClientTalker.Caller<Load.Request> {
+public final class Load implements ClientConnectionHandler.Caller<Load.Request> {
 
     /**
      * A class of requests.
@@ -142,8 +142,8 @@
     private final double perSecond;
     private final int most;
     private final UniformRandomProvider random;
-    private final Set<ClientTalker<Request>> connections = new LinkedHashSet<>();
-    private final ArrayDeque<ClientTalker<Request>> free = new ArrayDeque<>();
+    private final Set<ClientConnectionHandler<Request>> connections = new LinkedHashSet<>();
+    private final ArrayDeque<ClientConnectionHandler<Request>> free = new ArrayDeque<>();
     private final ArrayDeque<Request> waiting = new ArrayDeque<>();
     private final Result result = new Result();
     private Arrivals arrivals;
@@ -247,7 +247,7 @@
 
     private void connect() {
         if (connections.size() < most && !over) {
-            connections.add(new ClientTalker<>(carrier, gateway, tenant, tenant, password, this));
+            connections.add(new ClientConnectionHandler<>(carrier, gateway, tenant, tenant, password, this));
         }
     }
 
@@ -285,7 +285,7 @@
     }
 
     private void send(Request r) {
-        ClientTalker<Request> connection = free.poll();
+        ClientConnectionHandler<Request> connection = free.poll();
         while (connection != null && !connection.isFree()) {
             connection = free.poll();
         }
@@ -305,10 +305,12 @@
             return;
         }
         r.tries++;
-        connection.ask(r, ClientTalker.statement(r.id + (r.tries > 1 ? "." + r.tries : ""), r.kind.name(), left, r.id,
-                1, r.session, r.kind.write()), giveUpAt(r));
+        connection.ask(r,
+                ClientConnectionHandler.statement(r.id + (r.tries > 1 ? "." + r.tries : ""), r.kind.name(), left, r.id,
+                        1, r.session, r.kind.write()),
+                giveUpAt(r));
         if (habits.hangUp() > 0 && random.nextDouble() < habits.hangUp()) {
-            ClientTalker<Request> hanging = connection;
+            ClientConnectionHandler<Request> hanging = connection;
             carrier.clock().after(1 + random.nextInt(r.kind.aimMs() * 1000), () -> {
                 if (hanging.current() == r) {
                     hanging.hangUp();
@@ -328,7 +330,7 @@
         endIfDone();
     }
 
-    private void next(ClientTalker<Request> connection) {
+    private void next(ClientConnectionHandler<Request> connection) {
         if (connection.isFree()) {
             free.add(connection);
         }
@@ -338,7 +340,7 @@
         }
     }
 
-    private void gone(ClientTalker<Request> connection) {
+    private void gone(ClientConnectionHandler<Request> connection) {
         connections.remove(connection);
         free.remove(connection);
         carrier.clock().after(RECONNECT, this::connect);
@@ -347,12 +349,12 @@
     // ---- What connections tell --------------------------------------------------------------------------------
 
     @Override
-    public void welcomed(ClientTalker<Request> by) {
+    public void welcomed(ClientConnectionHandler<Request> by) {
         next(by);
     }
 
     @Override
-    public void answered(ClientTalker<Request> by, Request r, String value, String code, long retryAfter) {
+    public void answered(ClientConnectionHandler<Request> by, Request r, String value, String code, long retryAfter) {
         long now = carrier.clock().now();
         long took = now - r.due;
         if (code != null) {
@@ -403,13 +405,13 @@
     }
 
     @Override
-    public void late(ClientTalker<Request> by, Request r) {
+    public void late(ClientConnectionHandler<Request> by, Request r) {
         ended(r, t -> t.unanswered++);
         gone(by);
     }
 
     @Override
-    public void left(ClientTalker<Request> by, Request r, boolean reset) {
+    public void left(ClientConnectionHandler<Request> by, Request r, boolean reset) {
         if (r != null) {
             ended(r, t -> t.unanswered++);
         }
@@ -438,7 +440,7 @@
         for (Request r = waiting.poll(); r != null; r = waiting.poll()) {
             ended(r, t -> t.unanswered++);
         }
-        for (ClientTalker<Request> c : List.copyOf(connections)) {
+        for (ClientConnectionHandler<Request> c : List.copyOf(connections)) {
             c.asksNothing();
             c.close();
         }
--- a/lab/src/main/java/shelffront/lab/standin/Catalogue.java
+++ b/lab/src/main/java/shelffront/lab/standin/Catalogue.java
@@ -13,7 +13,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import shelffront.lab.carrier.Carrier;
-import shelffront.lab.carrier.Talker;
+import shelffront.lab.carrier.ConnectionHandler;
 import shelffront.lab.carrier.Wire;
 import shelffront.tenant.SpecJson;
 
@@ -76,7 +76,7 @@
 
     /** All watches break at once. */
     public void breakWatches() {
-        List.copyOf(watches).forEach(Talker::reset);
+        List.copyOf(watches).forEach(ConnectionHandler::reset);
         watches.clear();
     }
 
@@ -107,7 +107,7 @@
         return json(List.copyOf(lines.values()), true);
     }
 
-    private final class Call extends Talker {
+    private final class Call extends ConnectionHandler {
 
         Call(Wire accepted) {
             on(accepted);
--- a/lab/src/main/java/shelffront/lab/standin/BoxTalker.java
+++ b/lab/src/main/java/shelffront/lab/standin/HostConnectionHandler.java
@@ -5,7 +5,7 @@
 import java.nio.ByteBuffer;
 import java.util.Locale;
 import java.util.function.Consumer;
-import shelffront.lab.carrier.Talker;
+import shelffront.lab.carrier.ConnectionHandler;
 import shelffront.lab.carrier.Wire;
 import shelffront.lab.model.DatabaseSet;
 import shelffront.lab.model.DatabaseSet.Answer;
@@ -16,13 +16,13 @@
 import shelffront.pg.Statement;
 
 /** A box's side of a connection, on PostgreSQL's wire as far as the gateway speaks it. */
-public final class BoxTalker extends Talker {
+public final class HostConnectionHandler extends ConnectionHandler {
 
     private final Hosting hosting;
     private final DatabaseSet.Box box;
     private boolean started;
 
-    public BoxTalker(Hosting hosting, DatabaseSet.Box box, Wire accepted) {
+    public HostConnectionHandler(Hosting hosting, DatabaseSet.Box box, Wire accepted) {
         this.hosting = hosting;
         this.box = box;
         on(accepted);
--- a/lab/src/main/java/shelffront/lab/standin/StandInSet.java
+++ b/lab/src/main/java/shelffront/lab/standin/StandInSet.java
@@ -38,7 +38,7 @@
 
         private final DatabaseSet.Box model;
         private final InetSocketAddress address;
-        private final Set<BoxTalker> connections = new HashSet<>();
+        private final Set<HostConnectionHandler> connections = new HashSet<>();
         private final AtomicLong begun = new AtomicLong();
         private volatile long lastBegun;
         private volatile boolean silent;
@@ -52,11 +52,11 @@
         }
 
         private Wire.Owner accept(Wire wire) {
-            connections.removeIf(BoxTalker::isOver);
+            connections.removeIf(HostConnectionHandler::isOver);
             if (!model.isUp() || connections.size() >= figures.connections()) {
                 return null;
             }
-            BoxTalker talker = new BoxTalker(hosting, model, wire);
+            HostConnectionHandler talker = new HostConnectionHandler(hosting, model, wire);
             connections.add(talker);
             return talker;
         }
@@ -97,7 +97,7 @@
         public void kill() {
             onTurn(() -> {
                 StandInSet.this.model.kill(model);
-                connections.forEach(BoxTalker::reset);
+                connections.forEach(HostConnectionHandler::reset);
                 connections.clear();
             });
         }
@@ -181,7 +181,7 @@
     public int connections() {
         AtomicInteger sum = new AtomicInteger();
         onTurn(() -> boxes.values().forEach(b -> {
-            b.connections.removeIf(BoxTalker::isOver);
+            b.connections.removeIf(HostConnectionHandler::isOver);
             sum.addAndGet(b.connections.size());
         }));
         return sum.get();
--- a/lab/src/main/java/shelffront/lab/world/Crowd.java
+++ b/lab/src/main/java/shelffront/lab/world/ClientPopulation.java
@@ -7,13 +7,13 @@
 import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
 import shelffront.lab.audit.Auditor.Asked;
 import shelffront.lab.audit.Auditor.Rule;
-import shelffront.lab.load.ClientTalker;
+import shelffront.lab.load.ClientConnectionHandler;
 import shelffront.lab.virtual.Machine;
 import shelffront.route.Router.ClassSettings;
 import shelffront.route.Router.Read;
 
 /** The clients of one gateway: requests that come when they are due, whatever became of those before. */
-final class Crowd implements ClientTalker.Caller<Asked> {
+final class ClientPopulation implements ClientConnectionHandler.Caller<Asked> {
 
     private static final int SESSIONS = 200;
     private static final int MOST_RETRIES = 2;
@@ -26,11 +26,12 @@
     private final ZigguratSampler.Exponential gaps;
     private final double perSecond;
     private final long until;
-    private final Set<ClientTalker<Asked>> connections = new LinkedHashSet<>();
+    private final Set<ClientConnectionHandler<Asked>> connections = new LinkedHashSet<>();
     private double factor = 1;
     private long asked;
 
-    Crowd(Fleet fleet, int gateway, Machine machine, UniformRandomProvider random, double perSecond, long until) {
+    ClientPopulation(Fleet fleet, int gateway, Machine machine, UniformRandomProvider random, double perSecond,
+            long until) {
         this.fleet = fleet;
         this.gateway = gateway;
         this.machine = machine;
@@ -71,7 +72,8 @@
             return;
         }
         String database = database(session.hashCode());
-        ClientTalker<Asked> connection = connections.stream().filter(c -> c.isFree() && c.database().equals(database))
+        ClientConnectionHandler<Asked> connection = connections.stream()
+                .filter(c -> c.isFree() && c.database().equals(database))
                 .findFirst().orElse(null);
         if (connection == null && !fleet.takesConnections(gateway)) {
             return; // the front sends nobody there any more
@@ -89,7 +91,7 @@
         String key = type.writes() ? "k" + id : null;
         Asked a = fleet.auditor().asks(id, type, key, set + "/" + session, gateway, now, now + type.deadline());
         fleet.asked(a, retries);
-        connection.ask(a, ClientTalker.statement(id, type.name(), type.deadline() / 1000, key, set,
+        connection.ask(a, ClientConnectionHandler.statement(id, type.name(), type.deadline() / 1000, key, set,
                 set + "/" + session, type.writes(), carried(a)), now + type.deadline() + PATIENCE);
     }
 
@@ -97,8 +99,9 @@
         return fleet.scenario().deployment().carried() && a.type.read() == Read.SESSION ? a.mark : 0;
     }
 
-    private ClientTalker<Asked> connect(String database) {
-        return new ClientTalker<>(fleet.net().on(machine), fleet.gatewayAddress(gateway), "api", database, null, this);
+    private ClientConnectionHandler<Asked> connect(String database) {
+        return new ClientConnectionHandler<>(fleet.net().on(machine), fleet.gatewayAddress(gateway), "api", database,
+                null, this);
     }
 
     /** A session is one tenant's, as is a connection. */
@@ -117,11 +120,11 @@
 
     /** A read of one's own write comes soon behind it; what was refused is asked again when it was told to. */
     @Override
-    public void answered(ClientTalker<Asked> by, Asked a, String value, String error, long retryAfter) {
+    public void answered(ClientConnectionHandler<Asked> by, Asked a, String value, String error, long retryAfter) {
         fleet.answered(a, value, error);
         if (error == null && a.type.writes() && random.nextDouble() < 0.6) {
             ClassSettings own = fleet.types().stream().filter(t -> t.read() == Read.SESSION).findFirst().orElseThrow();
-            Crowd next = fleet.scenario().deployment().carried() ? fleet.anyCrowd(random) : this;
+            ClientPopulation next = fleet.scenario().deployment().carried() ? fleet.anyCrowd(random) : this;
             fleet.clock().after(5_000 + random.nextInt(100_000),
                     () -> next.ask(own, set(a), session(a), MOST_RETRIES));
         } else if ("53300".equals(error)) {
@@ -134,13 +137,13 @@
     }
 
     @Override
-    public void late(ClientTalker<Asked> by, Asked a) {
+    public void late(ClientConnectionHandler<Asked> by, Asked a) {
         fleet.unanswered(a, "had no answer in time");
         connections.remove(by);
     }
 
     @Override
-    public void left(ClientTalker<Asked> by, Asked a, boolean reset) {
+    public void left(ClientConnectionHandler<Asked> by, Asked a, boolean reset) {
         connections.remove(by);
         if (a != null) {
             fleet.lost(a, reset);
@@ -154,7 +157,7 @@
 
     /** A part of those who wait hang up. */
     void hangUp() {
-        for (ClientTalker<Asked> c : List.copyOf(connections)) {
+        for (ClientConnectionHandler<Asked> c : List.copyOf(connections)) {
             if (!c.isFree() && random.nextInt(3) == 0) {
                 excuse(c);
                 c.hangUp();
@@ -165,7 +168,7 @@
 
     /** A part of them read nothing for a while. */
     void stall(long time) {
-        for (ClientTalker<Asked> c : List.copyOf(connections)) {
+        for (ClientConnectionHandler<Asked> c : List.copyOf(connections)) {
             if (random.nextInt(3) == 0) {
                 c.stall(true);
                 excuse(c);
@@ -180,14 +183,14 @@
     /** So many more connect at once and ask nothing for a while; then all leave. */
     void idle(int count, long time) {
         for (int i = 0; i < count && fleet.takesConnections(gateway); i++) {
-            ClientTalker<Asked> c = connect(database(i));
+            ClientConnectionHandler<Asked> c = connect(database(i));
             c.asksNothing();
             fleet.clock().after(time + random.nextInt(10_000), c::close);
         }
     }
 
     /** What it waits for may be late by its own fault. */
-    private void excuse(ClientTalker<Asked> c) {
+    private void excuse(ClientConnectionHandler<Asked> c) {
         if (c.current() != null) {
             fleet.auditor().excuse(c.current());
         }
@@ -195,7 +198,7 @@
 
     /** Ends what is open once nothing more is asked. */
     void end() {
-        for (ClientTalker<Asked> c : List.copyOf(connections)) {
+        for (ClientConnectionHandler<Asked> c : List.copyOf(connections)) {
             c.asksNothing();
             c.close();
         }
--- a/lab/src/main/java/shelffront/lab/world/Fleet.java
+++ b/lab/src/main/java/shelffront/lab/world/Fleet.java
@@ -26,7 +26,7 @@
 import shelffront.config.MalformedInputException;
 import shelffront.config.MemberList;
 import shelffront.gateway.Gateway;
-import shelffront.hosted.Ground;
+import shelffront.hosted.Environment;
 import shelffront.hosted.Hosted;
 import shelffront.hosted.HostedConfig;
 import shelffront.lab.audit.Auditor;
@@ -40,7 +40,7 @@
 import shelffront.lab.model.DatabaseSet.Effect;
 import shelffront.lab.model.DatabaseSet.Kind;
 import shelffront.lab.model.DatabaseSet.Query;
-import shelffront.lab.standin.BoxTalker;
+import shelffront.lab.standin.HostConnectionHandler;
 import shelffront.lab.standin.Catalogue;
 import shelffront.lab.standin.Hosting;
 import shelffront.lab.virtual.End;
@@ -150,7 +150,7 @@
             Means means = scenario.means();
             Hosted made = new Hosted(new HostedConfig(config.listen(), null, null, means.loops(), means.sockets(),
                     BUFFERS, 0, 4000, List.of()), log,
-                    new Ground(() -> scheduler.now() + skew, n -> channels,
+                    new Environment(() -> scheduler.now() + skew, n -> channels,
                             config.seed()));
             for (int i = 0; i < means.tenants(); i++) {
                 made.apply(spec(i, 1, Set.of()), at -> {});
@@ -275,7 +275,7 @@
     private final List<InetSocketAddress> gatewayAddresses = new ArrayList<>();
     private final List<Process> processes = new ArrayList<>();
     private final Map<Machine, Integer> gatewayMachines = new HashMap<>();
-    private final List<Crowd> crowds = new ArrayList<>();
+    private final List<ClientPopulation> crowds = new ArrayList<>();
     private final List<ClassSettings> types;
     private final Map<String, Integer> retries = new HashMap<>();
     private final Map<String, Auditor.Try> begun = new HashMap<>();
@@ -386,7 +386,8 @@
         long begin = scheduler.now();
         startedAt = begin;
         for (int g = 0; g < scenario.gateways(); g++) {
-            crowds.add(new Crowd(this, g, net.machine("c" + g), fork(), scenario.perSecond() / scenario.gateways(),
+            crowds.add(new ClientPopulation(this, g, net.machine("c" + g), fork(),
+                    scenario.perSecond() / scenario.gateways(),
                     begin + scenario.length()));
         }
         for (Fault fault : scenario.faults()) {
@@ -395,7 +396,7 @@
             }
         }
         until(begin + scenario.length() + LAST_DEADLINE);
-        crowds.forEach(Crowd::end);
+        crowds.forEach(ClientPopulation::end);
         until(scheduler.now() + 200_000);
         ending = true;
         for (Process p : List.copyOf(processes)) {
@@ -517,7 +518,7 @@
                 disturb(p.index, LAST_DEADLINE);
             }
             case BURST -> {
-                Crowd crowd = crowds.get(fault.target() % crowds.size());
+                ClientPopulation crowd = crowds.get(fault.target() % crowds.size());
                 crowd.factor(6);
                 scheduler.after(Math.min(1_000_000, fault.time()), () -> crowd.factor(1));
             }
@@ -532,7 +533,7 @@
             case GARBAGE -> {
                 strangers = true;
                 for (int i = 0; i < GARBAGE; i++) {
-                    scheduler.after(random.nextLong(fault.time() + 1), () -> new RudeTalker(
+                    scheduler.after(random.nextLong(fault.time() + 1), () -> new RudeClientHandler(
                             net.on(rude), gatewayAddress(fault.target() % processes.size()), random));
                 }
             }
@@ -602,7 +603,8 @@
     private void listen(Box box) {
         Machine machine = boxMachines.get(box.id());
         net.listen(machine, boxAddresses.get(box.id()), end -> !box.isUp()
-                || machine.connections() >= scenario.figures().connections() ? null : new BoxTalker(hosting, box, end));
+                || machine.connections() >= scenario.figures().connections() ? null
+                        : new HostConnectionHandler(hosting, box, end));
     }
 
     private Catalogue.Line line(Box box, String phase) {
@@ -744,7 +746,7 @@
     }
 
     /** The clients of any gateway: a session that carries its mark may go on there. */
-    Crowd anyCrowd(UniformRandomProvider lot) {
+    ClientPopulation anyCrowd(UniformRandomProvider lot) {
         return crowds.get(lot.nextInt(crowds.size()));
     }
 
--- a/lab/src/main/java/shelffront/lab/world/RudeTalker.java
+++ b/lab/src/main/java/shelffront/lab/world/RudeClientHandler.java
@@ -6,15 +6,15 @@
 import java.nio.ByteBuffer;
 import org.apache.commons.rng.UniformRandomProvider;
 import shelffront.lab.carrier.Carrier;
-import shelffront.lab.carrier.Talker;
+import shelffront.lab.carrier.ConnectionHandler;
 import shelffront.pg.Message;
 
 /** A client that does not keep to the protocol: anything at any place, cut anywhere; it may also just stay. */
-final class RudeTalker extends Talker {
+final class RudeClientHandler extends ConnectionHandler {
 
     private static final long STAYS = 1_500_000;
 
-    RudeTalker(Carrier carrier, InetSocketAddress gateway, UniformRandomProvider random) {
+    RudeClientHandler(Carrier carrier, InetSocketAddress gateway, UniformRandomProvider random) {
         end = carrier.connect(gateway, this);
         byte[] startup = Message.startup("api", "ledger");
         byte[] query = Message.query("/* id=rude,c=map-read,d=1000,cluster=1 */ SELECT 1".getBytes(ISO_8859_1));
--- a/lab/src/test/java/shelffront/lab/HostedLoopsTest.java
+++ b/lab/src/test/java/shelffront/lab/HostedLoopsTest.java
@@ -30,8 +30,8 @@
         return 3;
     }
 
-    private int lane(String id) throws Exception {
-        return hosted.lane(id).get(MISSING_MS, TimeUnit.MILLISECONDS);
+    private int loopOf(String id) throws Exception {
+        return hosted.loopOf(id).get(MISSING_MS, TimeUnit.MILLISECONDS);
     }
 
     private ObjectNode[] three(StandInSet set) {
@@ -42,15 +42,15 @@
     void tenantsLiveOnDifferentLoopsAndEachIsServed() throws Exception {
         StandInSet set = boxes("s", 1, 1);
         start(three(set));
-        List<Integer> lanes = new ArrayList<>();
+        List<Integer> loops = new ArrayList<>();
         for (String id : List.of("a", "b", "c")) {
-            lanes.add(lane(id));
+            loops.add(loopOf(id));
             Client client = new Client(id, null);
             assertEquals(List.of(), client.answers());
             client.send(id + 1, "read");
             assertEquals(List.of(id + 1), client.answers());
         }
-        assertEquals(List.of(0, 1, 2), lanes.stream().sorted().toList());
+        assertEquals(List.of(0, 1, 2), loops.stream().sorted().toList());
     }
 
     /** Everything a client has to say in one packet: what follows the startup goes with it to the other loop. */
@@ -140,14 +140,14 @@
             tenants[i] = tenant("t" + i, set);
         }
         start(tenants);
-        String quiet = lane("t1") == lane("t4") ? "t4" : "none";
+        String quiet = loopOf("t1") == loopOf("t4") ? "t4" : "none";
         assertEquals("t4", quiet, "with equal weights t1 and t4 live together");
         Client before = new Client("t4", null);
         assertEquals(List.of(), before.answers());
         before.send("w1", "write");
         assertEquals(List.of("w1"), before.answers());
         before.close();
-        int first = lane("t4");
+        int first = loopOf("t4");
         // The other's loop is busy with clients that ask without a pause, until the sleeper is seen to have moved.
         List<Client> busy = new ArrayList<>();
         for (int i = 0; i < 12; i++) {
@@ -157,7 +157,7 @@
         }
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MISSING_MS);
         int round = 0;
-        while (lane("t4") == first) {
+        while (loopOf("t4") == first) {
             assertTrue(System.nanoTime() < end, "it did not move");
             for (int i = 0; i < 12; i++) {
                 byte[] bad = Message.query("/* no request */ SELECT".getBytes(ISO_8859_1));
--- a/lab/src/test/java/shelffront/lab/load/LoadTest.java
+++ b/lab/src/test/java/shelffront/lab/load/LoadTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import shelffront.lab.carrier.Talker;
+import shelffront.lab.carrier.ConnectionHandler;
 import shelffront.lab.carrier.Wire;
 import shelffront.lab.virtual.Scheduler;
 import shelffront.lab.virtual.VirtualNet;
@@ -30,7 +30,7 @@
     private String code;
 
     /** Takes each query for a while, then answers with its id, or the error that is set. */
-    private final class Server extends Talker {
+    private final class Server extends ConnectionHandler {
 
         private boolean started;
 
