--- a/gateway/src/main/java/shelffront/fleetconfig/Subscriber.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/Subscriber.java
@@ -22,6 +22,8 @@
 final class Subscriber implements AutoCloseable {
 
     private static final int UNKNOWN_SUBSCRIPTION = 404;
+    /** Times the usual grace, after polls that failed one after another. */
+    private static final int GREATEST_PATIENCE = 32;
     /** Names that wait are asked for together, so many at a time. */
     private static final int MOST_NAMES_IN_CALL = 1000;
     /** After a distributor that was behind what this subscriber has seen. */
@@ -64,6 +66,8 @@
     private long attempt; // of following somebody; what belongs to an earlier one counts no more
     private boolean adding;
     private long switchedAt;
+    /** Times the usual grace: a large snapshot on a slow way takes longer than a silence that is taken for a break. */
+    private int patience = 1;
     private boolean closed;
 
     /**
@@ -181,7 +185,8 @@
         long mine = attempt;
         long sentAt = clock.getAsLong();
         DistributorClient asked = client;
-        asked.poll(subscription, owner.version(), timings.pollWait(), timings.pollWait() + timings.answerGrace())
+        asked.poll(subscription, owner.version(), timings.pollWait(),
+                timings.pollWait() + patience * timings.answerGrace())
                 .whenCompleteAsync((answer, failure) -> guarded(() -> polled(mine, asked, sentAt, answer, failure)),
                         timer);
     }
@@ -192,6 +197,7 @@
             return;
         }
         if (failure != null) {
+            patience = Math.min(GREATEST_PATIENCE, 2 * patience);
             if (failure.getCause() instanceof DistributorRefused e && e.status() == UNKNOWN_SUBSCRIPTION) {
                 subscribe(asked.endpoint());
             } else {
@@ -203,6 +209,7 @@
             leave(asked.endpoint(), new DistributionGarbled("an answer that does not follow what is here", null));
             return;
         }
+        patience = 1;
         owner.confirmed(sentAt, answer.age());
         long now = clock.getAsLong();
         boolean stale = answer.age() == Freshness.NEVER || answer.age() > staleAfter;
--- a/lab/src/main/java/shelffront/lab/LabMain.java
+++ b/lab/src/main/java/shelffront/lab/LabMain.java
@@ -18,6 +18,7 @@
 import shelffront.lab.fleet.FleetScale;
 import shelffront.lab.fleet.GatewayCost;
 import shelffront.lab.fleet.HollowGateways;
+import shelffront.lab.fleet.StageCost;
 import shelffront.lab.rig.ConsulStandIn;
 import shelffront.lab.rig.StageExplore;
 import shelffront.tenant.SpecJson.SpecException;
@@ -27,7 +28,7 @@
         description = "Plays load and faults against shelffront on stand-in boxes of its own.",
         subcommands = {LabMain.Run.class, LabMain.Compare.class, Explore.class, Explore.Replay.class, Demo.class,
                 Scale.class, Idle.class, ServeFleet.class, ConsulStandIn.class, StageExplore.class, FleetScale.class,
-                HollowGateways.class, GatewayCost.class, DistributionExplore.class,
+                HollowGateways.class, GatewayCost.class, StageCost.class, DistributionExplore.class,
                 LabMain.Report.class})
 public final class LabMain {
 
--- a/lab/src/test/java/shelffront/lab/fleet/FleetTest.java
+++ b/lab/src/test/java/shelffront/lab/fleet/FleetTest.java
@@ -4,12 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
 import shelffront.distribution.Version;
 import shelffront.lab.fleet.DistributionHistories.Acknowledged;
 import shelffront.lab.fleet.DistributionHistories.Cut;
+import shelffront.lab.rig.FaultRelay;
 
 /** A fleet of processes, small; and that what judges one can say no. */
 class FleetTest {
@@ -30,6 +35,31 @@
                 new CommandLine(new DistributionExplore()).execute("--seeds", "1", "--from", "1", "--steps", "3"));
     }
 
+    /** It was given up as silent after 2.1 s, and begun anew, for ever. */
+    @Test
+    void aSnapshotThatTakesLongerThanASilenceArrives(@TempDir Path directory) throws Exception {
+        ScaledFleet.Size size = new ScaledFleet.Size(1, 2500, 3, 1, 1, 0, 0, 1);
+        List<FaultRelay> relays = new ArrayList<>();
+        ScaledFleet.Ways slow = (from, to, address) -> {
+            if (!to.startsWith("r")) {
+                return address;
+            }
+            String[] at = address.split(":");
+            FaultRelay relay = new FaultRelay(new InetSocketAddress(at[0], Integer.parseInt(at[1])));
+            relay.slow(20, 16 << 10); // 0.8 MB a second, for 2.4 MB
+            relays.add(relay);
+            return relay.address();
+        };
+        try (ScaledFleet fleet = new ScaledFleet(directory, size, slow, false)) {
+            fleet.start();
+            assertEquals(1, fleet.endHollow().size());
+        } finally {
+            for (FaultRelay relay : relays) {
+                relay.close();
+            }
+        }
+    }
+
     private static List<String> judged(List<Cut> cuts, List<Acknowledged> changes, String... lines) {
         DistributionHistories histories = new DistributionHistories();
         histories.add("z0", List.of(lines));
