--- a/lab/src/main/java/shelffront/lab/LabMain.java
+++ b/lab/src/main/java/shelffront/lab/LabMain.java
@@ -16,6 +16,7 @@
 import shelffront.lab.experiment.VirtualExperiment;
 import shelffront.lab.fleet.DistributionExplore;
 import shelffront.lab.fleet.FleetScale;
+import shelffront.lab.fleet.FleetScaleReport;
 import shelffront.lab.fleet.GatewayCost;
 import shelffront.lab.fleet.HollowGateways;
 import shelffront.lab.fleet.StageCost;
@@ -28,6 +29,7 @@
         description = "Plays load and faults against shelffront on stand-in boxes of its own.",
         subcommands = {LabMain.Run.class, LabMain.Compare.class, Explore.class, Explore.Replay.class, Demo.class,
                 Scale.class, Idle.class, ServeFleet.class, ConsulStandIn.class, StageExplore.class, FleetScale.class,
+                FleetScaleReport.class,
                 HollowGateways.class, GatewayCost.class, StageCost.class, DistributionExplore.class,
                 LabMain.Report.class})
 public final class LabMain {
--- a/lab/src/main/java/shelffront/lab/fleet/FleetScale.java
+++ b/lab/src/main/java/shelffront/lab/fleet/FleetScale.java
@@ -86,7 +86,7 @@
     private final ObjectNode figures = SpecJson.JSON.createObjectNode();
 
     /** What a group of processes has used until a moment. */
-    private record Use(double cpu, long io, long resident, long at) {
+    private record Use(double cpu, long io, long resident, long at, boolean intact) {
 
         static Use of(List<ScaledFleet.Part> parts) {
             double cpu = 0;
@@ -98,7 +98,8 @@
                 io += process.ioBytes();
                 resident += process.residentBytes();
             }
-            return new Use(cpu, io, resident, FleetNames.clock());
+            boolean intact = parts.stream().allMatch(ScaledFleet.Part::isFirstAndUp);
+            return new Use(cpu, io, resident, FleetNames.clock(), intact);
         }
 
         double cpuSince(Use before) {
@@ -164,6 +165,9 @@
         Map<String, Integer> divisors = Map.of("engine", 1, "region", regions, "zone", regions * zones, "hollow",
                 gateways, "real", Math.max(1, real));
         after.forEach((role, use) -> {
+            if (!use.intact()) {
+                return; // what a process that was killed had used is gone with it
+            }
             int divisor = divisors.get(role);
             note(span + "_" + role + "_cpu_cores", use.cpuSince(before.get(role)) / divisor);
             note(span + "_" + role + "_kb_per_s", use.kbSince(before.get(role)) / divisor);
--- a/lab/src/main/java/shelffront/lab/fleet/ScaledFleet.java
+++ b/lab/src/main/java/shelffront/lab/fleet/ScaledFleet.java
@@ -84,6 +84,11 @@
         JavaProcess process() {
             return process;
         }
+
+        /** Whether the process that was started first still runs. */
+        boolean isFirstAndUp() {
+            return starts == 1 && process.isUp();
+        }
     }
 
     private final Path directory;
