--- a/lab/src/main/java/shelffront/lab/fleet/FleetScaleReport.java
+++ b/lab/src/main/java/shelffront/lab/fleet/FleetScaleReport.java
@@ -50,8 +50,8 @@
     public Integer call() throws IOException {
         List<JsonNode> runs = read();
         List<String> lines = new ArrayList<>(List.of("# fleet-scale", "",
-                "Each line a run, beside it `result.json` with every figure. A gateway's figures are those of hollow ones.",
-                ""));
+                "Each line is a run; `result.json` beside it has every figure. A gateway's figures are those of hollow",
+                "ones; of a role whose process was killed in the run they say nothing.", ""));
         StringBuilder heading = new StringBuilder("| gateways | watching themselves | fault |");
         COLUMNS.forEach(c -> heading.append(' ').append(c.heading()).append(" |"));
         lines.add(heading.toString());
