--- a/gateway/src/test/java/shelffront/fleetconfig/DistributionTest.java
+++ b/gateway/src/test/java/shelffront/fleetconfig/DistributionTest.java
@@ -153,6 +153,22 @@
         assertEquals("somebody", force.documents.get("nobody"));
     }
 
+    @Test
+    void aNameThatIsLetGoIsFetchedAnewByItsNextClientAndFollowedAgain() throws Exception {
+        store.write("a", 0, "one", Version.NONE);
+        store.write("b", 0, "other", Version.NONE);
+        Force force = new Force();
+        FleetRecords gateway = gateway("g", force, null, endpoint(distributor(0, null)));
+        assertTrue(found(gateway, "a"));
+        gateway.forget("a");
+        assertEquals(Map.of(), force.documents);
+        store.write("a", 1, "two", Version.NONE);
+        assertTrue(found(gateway, "b"));
+        await().atMost(MOST).until(() -> found(gateway, "a") && "two".equals(force.documents.get("a")));
+        store.write("a", 3, "three", Version.NONE);
+        await().atMost(MOST).until(() -> "three".equals(force.documents.get("a")));
+    }
+
     @Test
     void aRecordThatIsNotValidLeavesTheOneBeforeAndIsReported() throws Exception {
         store.write("a", 0, "one", Version.NONE);
