--- a/gateway/src/main/java/shelffront/fleetconfig/ChangeStore.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/ChangeStore.java
@@ -1,6 +1,5 @@
 package shelffront.fleetconfig;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -18,6 +17,7 @@
 import shelffront.engine.Engine.Write;
 import shelffront.engine.EngineException;
 import shelffront.engine.EngineException.EngineGarbled;
+import shelffront.engine.ValueJson;
 import shelffront.fleetconfig.DistributionException.EngineSteppedBack;
 import shelffront.fleetconfig.DistributionException.RecordTooLarge;
 
@@ -150,7 +150,7 @@
             Head before = head();
             List<Change> listed = new ArrayList<>();
             for (Value value : engine.list(recordPrefix).values()) {
-                listed.add(change(value, json(value)));
+                listed.add(change(value, ValueJson.object(value)));
             }
             Head after = head();
             List<Change> since = changes(before, after);
@@ -169,7 +169,7 @@
     /** A record as it stands; null where there is none. */
     public Change record(String name) throws EngineException {
         Value value = engine.read(recordPrefix + name);
-        return value == null ? null : change(value, json(value));
+        return value == null ? null : change(value, ValueJson.object(value));
     }
 
     // ---- Writing ----------------------------------------------------------------------------------------------
@@ -191,7 +191,7 @@
                 throw new EngineSteppedBack(head.version(), seen);
             }
             Value record = engine.read(recordPrefix + name);
-            Change present = record == null ? null : change(record, json(record));
+            Change present = record == null ? null : change(record, ValueJson.object(record));
             if ((present == null ? 0 : present.version().sequence()) != expectedSequence) {
                 throw new RecordChanged(present);
             }
@@ -248,12 +248,12 @@
     }
 
     private static Head head(Value value) throws EngineGarbled {
-        JsonNode o = json(value);
+        JsonNode o = ValueJson.object(value);
         return new Head(version(o), o.path("id").asText(), value.index());
     }
 
     private static Entry entry(Value value) throws EngineGarbled {
-        JsonNode o = json(value);
+        JsonNode o = ValueJson.object(value);
         return new Entry(change(value, o), o.path("id").asText(), o.path("previous").asText());
     }
 
@@ -269,18 +269,6 @@
                 o.has("document") ? o.path("document").asText() : null);
     }
 
-    private static JsonNode json(Value value) throws EngineGarbled {
-        try {
-            JsonNode node = JSON.readTree(value.text());
-            if (node != null && node.isObject()) {
-                return node;
-            }
-        } catch (JsonProcessingException e) {
-            throw new EngineGarbled(value.key() + " is not JSON: " + value.text(), e);
-        }
-        throw new EngineGarbled(value.key() + " is not a JSON object: " + value.text(), null);
-    }
-
     @Override
     public void close() {
         engine.close();
--- a/gateway/src/main/java/shelffront/fleetconfig/FleetRecordsConfig.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/FleetRecordsConfig.java
@@ -4,13 +4,13 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 import shelffront.config.GatewayConfig;
 import shelffront.config.MalformedInputException;
 import shelffront.distribution.Endpoint;
 import shelffront.distribution.Timings;
+import shelffront.tenant.SpecJson;
 import shelffront.tenant.SpecJson.SpecException;
 
 /**
@@ -41,11 +41,11 @@
         if (!o.isObject()) {
             throw new SpecException(at, "is not an object");
         }
-        known(o, at, NAMES);
+        SpecJson.onlyFields(o, at, NAMES);
         List<Endpoint> distributors = new ArrayList<>();
         for (JsonNode each : o.path("distributors")) {
             String here = at + "/distributors/" + distributors.size();
-            known(each, here, ENDPOINT_NAMES);
+            SpecJson.onlyFields(each, here, ENDPOINT_NAMES);
             address(each, here + "/address", "address");
             distributors.add(new Endpoint(each.path("address").asText(), name(each, here, "region", ""),
                     name(each, here, "zone", "")));
@@ -60,15 +60,6 @@
                 millis(o, at, "staleAfterMs", STALE_AFTER_MS), millis(o, at, "greatestAgeMs", GREATEST_AGE_MS));
     }
 
-    private static void known(JsonNode o, String at, Set<String> names) throws SpecException {
-        for (Iterator<String> each = o.fieldNames(); each.hasNext();) {
-            String name = each.next();
-            if (!names.contains(name)) {
-                throw new SpecException(at + "/" + name, "is not a setting");
-            }
-        }
-    }
-
     private static String name(JsonNode o, String at, String field, String absent) throws SpecException {
         JsonNode value = o.path(field);
         if (value.isMissingNode() && absent != null) {
--- a/gateway/src/main/java/shelffront/hosted/HostedConfig.java
+++ b/gateway/src/main/java/shelffront/hosted/HostedConfig.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Set;
 import shelffront.config.GatewayConfig;
@@ -49,9 +48,9 @@
         if (!top.isObject()) {
             throw new SpecException("", "not a JSON object");
         }
-        known(top, "", NAMES);
+        SpecJson.onlyFields(top, "", NAMES);
         JsonNode capacity = top.path("capacity");
-        known(capacity, "/capacity", CAPACITY_NAMES);
+        SpecJson.onlyFields(capacity, "/capacity", CAPACITY_NAMES);
         List<JsonNode> tenants = new ArrayList<>();
         List<String> ids = new ArrayList<>();
         for (JsonNode tenant : top.path("tenants")) {
@@ -85,15 +84,6 @@
                         : null);
     }
 
-    private static void known(JsonNode object, String at, Set<String> names) throws SpecException {
-        for (Iterator<String> each = object.fieldNames(); each.hasNext();) {
-            String name = each.next();
-            if (!names.contains(name)) {
-                throw new SpecException(at + "/" + name, "is not a setting");
-            }
-        }
-    }
-
     private static double number(JsonNode object, String at, String name, double least, double most, double absent)
             throws SpecException {
         JsonNode value = object.path(name);
--- a/gateway/src/main/java/shelffront/stages/Stages.java
+++ b/gateway/src/main/java/shelffront/stages/Stages.java
@@ -1,6 +1,5 @@
 package shelffront.stages;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.ArrayList;
@@ -14,6 +13,7 @@
 import shelffront.engine.Engine.Value;
 import shelffront.engine.EngineException;
 import shelffront.engine.EngineException.EngineGarbled;
+import shelffront.engine.ValueJson;
 import shelffront.net.Log;
 import shelffront.stage.Bounds;
 import shelffront.stage.Holder;
@@ -469,7 +469,7 @@
     }
 
     private static Standing standing(Subject s, Value value) throws EngineGarbled {
-        JsonNode o = json(value);
+        JsonNode o = ValueJson.object(value);
         int stage = s.stages.indexOf(o.path("stage").asText());
         int target = s.stages.indexOf(o.path("target").asText());
         if (stage < 0 || target < 0 || o.path("epoch").asLong() < 1) {
@@ -485,25 +485,13 @@
     }
 
     private static Member member(Value value) throws EngineGarbled {
-        JsonNode o = json(value);
+        JsonNode o = ValueJson.object(value);
         if (!o.path("epoch").isIntegralNumber() || !o.path("revoked").isBoolean()) {
             throw new EngineGarbled(value.key() + " is no member: " + value.text(), null);
         }
         return new Member(o.path("epoch").asLong(), o.path("revoked").asBoolean());
     }
 
-    private static JsonNode json(Value value) throws EngineGarbled {
-        try {
-            JsonNode node = JSON.readTree(value.text());
-            if (node != null && node.isObject()) {
-                return node;
-            }
-        } catch (JsonProcessingException e) {
-            throw new EngineGarbled(value.key() + " is not JSON: " + value.text(), e);
-        }
-        throw new EngineGarbled(value.key() + " is not a JSON object: " + value.text(), null);
-    }
-
     /** Says each thread's trouble once, until it is over or another. */
     private void complain(String who, EngineException e) {
         if (!e.code().equals(lastErrors.put(who, e.code()))) {
--- a/gateway/src/main/java/shelffront/stages/StagesConfig.java
+++ b/gateway/src/main/java/shelffront/stages/StagesConfig.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import shelffront.stage.Bounds;
+import shelffront.tenant.SpecJson;
 import shelffront.tenant.SpecJson.SpecException;
 
 /**
@@ -34,12 +35,7 @@
         if (!o.isObject()) {
             throw new SpecException(at, "is not an object");
         }
-        for (Iterator<String> each = o.fieldNames(); each.hasNext();) {
-            String name = each.next();
-            if (!NAMES.contains(name)) {
-                throw new SpecException(at + "/" + name, "is not a setting");
-            }
-        }
+        SpecJson.onlyFields(o, at, NAMES);
         String engine = o.path("engine").asText();
         if (!engine.matches("[0-9a-zA-Z.-]+:[0-9]{1,5}")) {
             throw new SpecException(at + "/engine", "is not an address host:port");
--- a/gateway/src/main/java/shelffront/tenant/SpecJson.java
+++ b/gateway/src/main/java/shelffront/tenant/SpecJson.java
@@ -20,6 +20,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.HexFormat;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -94,6 +95,19 @@
         }
     }
 
+    /**
+     * Throws with the pointer to the first field of an object that has none of the names, which are those of
+     * settings.
+     */
+    public static void onlyFields(JsonNode object, String at, Set<String> names) throws SpecException {
+        for (Iterator<String> each = object.fieldNames(); each.hasNext();) {
+            String name = each.next();
+            if (!names.contains(name)) {
+                throw new SpecException(at + "/" + name, "is not a setting");
+            }
+        }
+    }
+
     /** Throws with the first fault, by the order of pointers. */
     public static TenantSpec read(JsonNode document) throws SpecException {
         ValidationMessage fault = SCHEMA.validate(document).stream()
