--- a/gateway/src/main/java/shelffront/fleetconfig/DistributionException.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/DistributionException.java
@@ -79,6 +79,17 @@
         }
     }
 
+    /** More names wait for an answer than a gateway keeps. */
+    public static final class LookupsFull extends DistributionException {
+
+        private static final long serialVersionUID = 1L;
+
+        LookupsFull(int waiting) {
+            super("lookups-full", waiting + " names wait for a distributor's answer",
+                    "Look at the distributors; if they answer, see who names so many databases that nobody has.", null);
+        }
+    }
+
     /** No distributor answers. */
     public static final class DistributorUnreachable extends DistributionException {
 
--- a/gateway/src/main/java/shelffront/fleetconfig/FleetRecords.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/FleetRecords.java
@@ -21,6 +21,7 @@
 import shelffront.distribution.Timings;
 import shelffront.distribution.Version;
 import shelffront.fleetconfig.DistributionException.DistributionGarbled;
+import shelffront.fleetconfig.DistributionException.LookupsFull;
 import shelffront.fleetconfig.DistributionException.RecordRejected;
 import shelffront.fleetconfig.DistributionException.ViewTooOld;
 import shelffront.net.Log;
@@ -45,6 +46,8 @@
     }
 
     private static final int MOST_ABSENT = 10_000;
+    /** Names asked for that nobody has answered yet: while no distributor does, a flood of them stops here. */
+    static final int MOST_LOOKUPS = 10_000;
     private static final long ABSENT_FOR = 5_000_000;
     private static final long KEEP_DELAY_MILLIS = 200;
     private static final long AGE_CHECK_MILLIS = 1_000;
@@ -127,6 +130,9 @@
             return CompletableFuture.completedFuture(false);
         }
         CompletableFuture<Boolean> pending = lookups.get(name);
+        if (pending == null && lookups.size() >= MOST_LOOKUPS) {
+            return CompletableFuture.failedFuture(new LookupsFull(lookups.size()));
+        }
         if (pending == null) {
             pending = new CompletableFuture<>();
             lookups.put(name, pending);
--- a/gateway/src/main/java/shelffront/fleetconfig/Subscriber.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/Subscriber.java
@@ -2,7 +2,9 @@
 
 import java.net.http.HttpClient;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -59,7 +61,7 @@
     private final ScheduledExecutorService timer;
     private final LongSupplier clock;
     private final Log log;
-    private final List<String> wanted = new ArrayList<>(); // names to be asked for
+    private final Set<String> wanted = new LinkedHashSet<>(); // names to be asked for
     private final List<String> forgotten = new ArrayList<>(); // told with the next names that are asked for
     private DistributorClient client; // null while none is followed
     private String subscription;
@@ -239,7 +241,7 @@
         adding = true;
         long mine = attempt;
         long sentAt = clock.getAsLong();
-        List<String> names = List.copyOf(wanted.subList(0, Math.min(wanted.size(), MOST_NAMES_IN_CALL)));
+        List<String> names = wanted.stream().limit(MOST_NAMES_IN_CALL).toList();
         Messages.ChangeNames change = new Messages.ChangeNames(owner.beginAdding(names), names,
                 List.copyOf(forgotten));
         forgotten.clear();
@@ -259,7 +261,7 @@
         }
         if (owner.added(names, answer)) {
             owner.confirmed(sentAt, answer.age());
-            wanted.removeAll(names);
+            names.forEach(wanted::remove);
             addNames();
         } else {
             timer.schedule(this::addNamesAgain, ADD_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
--- a/gateway/src/test/java/shelffront/fleetconfig/ChangeStoreTest.java
+++ b/gateway/src/test/java/shelffront/fleetconfig/ChangeStoreTest.java
@@ -119,7 +119,7 @@
     void theOperatorsPageNamesEveryError() throws Exception {
         String page = Files.readString(Path.of("../docs/operators/distribution.md"));
         List<Class<?>> kinds = List.of(DistributionException.class.getPermittedSubclasses());
-        assertEquals(8, kinds.size());
+        assertEquals(9, kinds.size());
         for (Class<?> kind : kinds) {
             String code = kind.getSimpleName().replaceAll("(?<=.)([A-Z])", "-$1").toLowerCase(Locale.ROOT);
             assertTrue(page.contains("| `" + code + "` |"), code);
--- a/gateway/src/test/java/shelffront/fleetconfig/DistributionTest.java
+++ b/gateway/src/test/java/shelffront/fleetconfig/DistributionTest.java
@@ -169,6 +169,17 @@
         await().atMost(MOST).until(() -> "three".equals(force.documents.get("a")));
     }
 
+    /** While no distributor answers, names that are asked for must not pile up without bound. */
+    @Test
+    void aFloodOfNamesStopsAtTheGatewayWhileNobodyAnswers() {
+        FleetRecords gateway = gateway("g", new Force(), null, new Endpoint("127.0.0.1:9", "", ""));
+        for (int i = 0; i < FleetRecords.MOST_LOOKUPS; i++) {
+            assertFalse(gateway.lookUp("n" + i).isDone());
+        }
+        assertTrue(gateway.lookUp("one more").isCompletedExceptionally());
+        assertFalse(gateway.lookUp("n0").isCompletedExceptionally(), "who waits already goes on waiting");
+    }
+
     @Test
     void aRecordThatIsNotValidLeavesTheOneBeforeAndIsReported() throws Exception {
         store.write("a", 0, "one", Version.NONE);
