Drop absent names of a subscription at once, and name the form of names in one place

Need: found on reading the whole change again. A distributor made the set of followed names anew for each absent name of a call; a list was returned that nobody read; FleetTenants cut a record's name to compare it; the expression for names stood three times.

Change: Subscription.drop takes all of them, change gives nothing back, the record's name is compared whole, SpecJson.NAME. Behaviour stays.

--- a/gateway/src/main/java/shelffront/admin/AdminServer.java
+++ b/gateway/src/main/java/shelffront/admin/AdminServer.java
@@ -50,7 +50,6 @@
     private static final long LONGEST_OVERLAP_MS = 30L * 24 * 3600 * 1000;
     /** Seconds in which a request must have been sent and its answer been taken: slow ones are cut off. */
     private static final String MOST_SECONDS = "10";
-    private static final String NAME = "[a-zA-Z0-9][a-zA-Z0-9_.-]{0,63}";
 
     /** An answer that a POST with an Idempotency-Key had, and what it was asked. */
     private record Kept(String asked, Answer answer) {}
@@ -138,7 +137,7 @@
         String[] parts = path.split("/", -1);
         for (int i = 1; i < parts.length; i++) {
             // An encoded slash or dot is no name here, so that no path means anything but what it says.
-            if (!parts[i].matches(NAME)) {
+            if (!parts[i].matches(SpecJson.NAME)) {
                 throw Problem.notFound();
             }
         }
--- a/gateway/src/main/java/shelffront/fleetconfig/Distributor.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/Distributor.java
@@ -225,10 +225,10 @@
             change.add().stream().map(table::record).filter(r -> r != null).forEach(records::add);
             added = new Added(table.version(), freshness.age(clock.getAsLong()), records);
         }
+        Set<String> absent = new HashSet<>(change.add());
+        added.records().forEach(r -> absent.remove(r.name()));
         synchronized (shard(id)) {
-            Set<String> found = new HashSet<>();
-            added.records().forEach(r -> found.add(r.name()));
-            change.add().stream().filter(n -> !found.contains(n)).forEach(subscription::drop);
+            subscription.drop(absent);
         }
         responder.answer(OK, added.bytes());
     }
--- a/gateway/src/main/java/shelffront/fleetconfig/FleetRecordsConfig.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/FleetRecordsConfig.java
@@ -30,7 +30,6 @@
     private static final Set<String> NAMES = Set.of("name", "fleet", "region", "zone", "distributors", "engine",
             "lastKnownGood", "staleAfterMs", "greatestAgeMs");
     private static final Set<String> ENDPOINT_NAMES = Set.of("address", "region", "zone");
-    private static final String NAME = "[a-zA-Z0-9][a-zA-Z0-9_.-]{0,63}";
     private static final long MS = 1000;
     /** Beyond the age that a view has while nothing fails. */
     private static final long STALE_AFTER_MS = 6_000;
@@ -65,7 +64,7 @@
         if (value.isMissingNode() && absent != null) {
             return absent;
         }
-        if (!value.asText().matches(NAME)) {
+        if (!value.asText().matches(SpecJson.NAME)) {
             throw new SpecException(at + "/" + field, "is not a name of letters, digits, dots and dashes");
         }
         return value.asText();
--- a/gateway/src/main/java/shelffront/fleetconfig/Subscription.java
+++ b/gateway/src/main/java/shelffront/fleetconfig/Subscription.java
@@ -1,8 +1,7 @@
 package shelffront.fleetconfig;
 
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ScheduledFuture;
 import shelffront.distribution.Interest;
@@ -65,16 +64,16 @@
         return names.size();
     }
 
-    List<String> change(Messages.ChangeNames change) {
+    void change(Messages.ChangeNames change) {
         change.remove().forEach(names::remove);
         names.addAll(change.add());
         interest = all ? Interest.ALL : Interest.in(names);
         edition = Math.max(edition, change.edition());
-        return new ArrayList<>(change.add());
     }
 
-    void drop(String name) {
-        names.remove(name);
+    /** Follows these no longer. */
+    void drop(Collection<String> dropped) {
+        dropped.forEach(names::remove);
         interest = all ? Interest.ALL : Interest.in(names);
     }
 
--- a/gateway/src/main/java/shelffront/hosted/FleetTenants.java
+++ b/gateway/src/main/java/shelffront/hosted/FleetTenants.java
@@ -27,8 +27,6 @@
  */
 final class FleetTenants implements FleetRecords.Target, AutoCloseable {
 
-    private static final String TENANT_ID = "[a-zA-Z0-9][a-zA-Z0-9_.-]{0,63}";
-
     private final Tenancy.Control control;
     private final ScheduledThreadPoolExecutor timer = DistributorRole.timer(1, "fleet-records");
     private final FleetRecords records;
@@ -73,7 +71,7 @@
      * may call: it does not wait, also not for a record that is being validated.
      */
     CompletableFuture<Boolean> lookUp(String id) {
-        return id.matches(TENANT_ID)
+        return id.matches(SpecJson.NAME)
                 ? CompletableFuture.supplyAsync(() -> records.lookUp(FleetTenantRecords.PREFIX + id), timer)
                         .thenCompose(found -> found)
                 : CompletableFuture.completedFuture(false);
@@ -86,10 +84,9 @@
 
     @Override
     public String put(Change record) {
-        String id = record.name().substring(Math.min(record.name().length(), FleetTenantRecords.PREFIX.length()));
         try {
             TenantSpec spec = SpecJson.read(SpecJson.parse(record.document().getBytes(UTF_8)));
-            if (!spec.id().equals(id)) {
+            if (!record.name().equals(FleetTenantRecords.PREFIX + spec.id())) {
                 return "/id is not the name of the record";
             }
             control.apply(spec, at -> {});
--- a/gateway/src/main/java/shelffront/tenant/SpecJson.java
+++ b/gateway/src/main/java/shelffront/tenant/SpecJson.java
@@ -67,6 +67,9 @@
             .enable(JsonParser.Feature.STRICT_DUPLICATE_DETECTION)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
+    /** What names of tenants, gateways and fleets look like, as a regular expression. */
+    public static final String NAME = "[a-zA-Z0-9][a-zA-Z0-9_.-]{0,63}";
+
     private static final JsonSchema SCHEMA = schema();
     private static final long MS = 1000;
 
