Show that a second copy behind an answer is served to the next client

Cause: BackendConnection looks for surplus bytes only in what was already read when an answer is complete, and the connection is reused at once. A second copy that the host's system held back until the answer is acknowledged comes with the gateway's next request and is taken for its answer; from then on the connection is one answer behind.

Nothing outside review/ changes.

--- /dev/null
+++ b/review/common/Test.java
@@ -0,0 +1,77 @@
+package review.common;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+
+/** What every test has: its folders, its record and what it has to end. */
+public final class Test implements AutoCloseable {
+
+  /** The body of a test; returns the sentences that say how the rule was broken. */
+  public interface Body {
+    List<String> run(Test test) throws Exception;
+  }
+
+  public final Path root;
+  public final Path folder;
+  public final Record record;
+
+  /** Whether the disruption takes place; not with TROUBLE=0. */
+  public final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+
+  private final List<AutoCloseable> toClose = new ArrayList<>();
+
+  private Test(Path root, Path caseFolder) throws IOException {
+    this.root = root;
+    folder = Files.createTempDirectory("review");
+    record = new Record(caseFolder.resolve("record.txt"));
+  }
+
+  public <T extends AutoCloseable> T ends(T started) {
+    synchronized (toClose) {
+      toClose.add(started);
+    }
+    return started;
+  }
+
+  /** Runs a test: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+  public static void main(String[] args, Body body) {
+    int code = 2;
+    try (Test test = new Test(Path.of(args[0]), Path.of(args[1]))) {
+      test.record.line("disruption: %s", test.trouble ? "yes" : "no");
+      List<String> breaks = body.run(test);
+      breaks.forEach(each -> test.record.line("BROKEN: %s", each));
+      breaks.forEach(System.out::println);
+      code = breaks.isEmpty() ? 0 : 1;
+      test.record.line("result: %s", code == 0 ? "the rule held" : "the rule was broken");
+      System.out.println(code == 0 ? "the rule held" : "the rule was broken");
+    } catch (Exception failure) {
+      failure.printStackTrace();
+      code = 2;
+    }
+    System.exit(code);
+  }
+
+  @Override
+  public void close() throws Exception {
+    List<AutoCloseable> reversed = new ArrayList<>(toClose);
+    java.util.Collections.reverse(reversed);
+    for (AutoCloseable each : reversed) {
+      try {
+        each.close();
+      } catch (IOException ended) {
+        // already closed
+      }
+    }
+    record.close();
+    try (Stream<Path> files = Files.walk(folder)) {
+      for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(file);
+      }
+    }
+  }
+}
