Show with the same second copy that a once-only write runs twice

Cause: a connection that is one answer behind gives a refusal (53300) to the request after the one that was refused; that request has run or runs, counts as never run, and is sent again.

Stand-ins can turn requests away and list what ran.

--- a/review/common/Host.java
+++ b/review/common/Host.java
@@ -11,8 +11,10 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -40,6 +42,9 @@
   /** Every request that arrived whole, in order. */
   public final List<Run> runs = new CopyOnWriteArrayList<>();
 
+  /** The ids of the requests that ran, one for each time. */
+  public final Queue<String> executed = new ConcurrentLinkedQueue<>();
+
   public volatile boolean primary;
   public volatile boolean hung;
 
@@ -60,6 +65,9 @@
    */
   public volatile double copyShare;
 
+  /** Share of the requests that are turned away unseen, as with a full queue. */
+  public volatile double refuseShare;
+
   /** Whether small writes are sent at once; the system's default is to hold them back. */
   public volatile boolean noDelay = true;
 
@@ -198,6 +206,11 @@
       reply(out, Wire.error("25006", "not the primary"), requestId, "miss", 0);
       return null;
     }
+    if (ThreadLocalRandom.current().nextDouble() < refuseShare) {
+      reply(out, Wire.error("53300", "the queue is full"), requestId, "full", 0);
+      return null;
+    }
+    executed.add(requestId);
     byte[] value = Wire.text(id + "/" + requestId);
     long endMicros = arrived + work.millis(requestId, requestClass) * 1000;
     while (Clock.micros() < endMicros) {
