Let the former primary return later, so that each run shows the stale reads

Change: the former primary is down 1.8 s longer, which stays within the time in which the platform may have no primary. The check is the same. Clients of all tests give up after 10 s, and a test ends after 110 s.

--- a/review/3/FormerPrimaryReturns.java
+++ b/review/3/FormerPrimaryReturns.java
@@ -178,13 +178,13 @@
       Discovery.Entry listed = discovery.entry(former.id);
       former.kill();
       discovery.publish(listed.with("Gone", 0));
-      Thread.sleep(700);
+      Thread.sleep(2500);
       former.restart();
       Thread.sleep(2300);
       discovery.publish(listed.with("Ready", former.startedMillis));
       Thread.sleep(1000);
     } else {
-      Thread.sleep(5000);
+      Thread.sleep(6800);
     }
     loads.forEach(Thread::interrupt);
     for (Thread load : loads) {
--- a/review/common/Client.java
+++ b/review/common/Client.java
@@ -12,6 +12,9 @@
   /** What came back for one request. */
   public record Answer(String kind, String value, long micros) {}
 
+  /** Far beyond the time of any request; keeps a test from waiting for ever. */
+  private static final int TIMEOUT_MILLIS = 10_000;
+
   private final Socket socket;
   private final DataInputStream in;
 
@@ -19,6 +22,7 @@
     socket = new Socket();
     socket.connect(new InetSocketAddress("127.0.0.1", port), 2000);
     socket.setTcpNoDelay(true);
+    socket.setSoTimeout(TIMEOUT_MILLIS);
     in = new DataInputStream(new BufferedInputStream(socket.getInputStream(), 1 << 16));
     socket.getOutputStream().write(Wire.startup());
     while (Wire.read(in).type() != 'Z') {
@@ -26,22 +30,12 @@
     }
   }
 
-  public void timeoutMillis(int millis) throws IOException {
-    socket.setSoTimeout(millis);
-  }
-
   /** Writes a statement; returns when its last byte is written. */
   public void send(String statement) throws IOException {
     socket.getOutputStream().write(Wire.query(statement));
     socket.getOutputStream().flush();
   }
 
-  /** Writes bytes as they are. */
-  public void sendBytes(byte[] bytes) throws IOException {
-    socket.getOutputStream().write(bytes);
-    socket.getOutputStream().flush();
-  }
-
   /** Reads one answer up to ReadyForQuery. */
   public Answer receive() throws IOException {
     String kind = "empty";
--- a/review/common/Test.java
+++ b/review/common/Test.java
@@ -16,6 +16,8 @@
     List<String> run(Test test) throws Exception;
   }
 
+  private static final int MAX_SECONDS = 110;
+
   public final Path root;
   public final Path folder;
   public final Record record;
@@ -41,6 +43,7 @@
   /** Runs a test: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
   public static void main(String[] args, Body body) {
     int code = 2;
+    endAfter(MAX_SECONDS);
     try (Test test = new Test(Path.of(args[0]), Path.of(args[1]))) {
       test.record.line("disruption: %s", test.trouble ? "yes" : "no");
       List<String> breaks = body.run(test);
@@ -56,6 +59,23 @@
     System.exit(code);
   }
 
+  /** Ends the process, and with it the gateways, as a case that could not run. */
+  private static void endAfter(int seconds) {
+    Thread thread =
+        new Thread(
+            () -> {
+              try {
+                Thread.sleep(seconds * 1000L);
+                System.err.println("not done after " + seconds + " s");
+                System.exit(2);
+              } catch (InterruptedException ended) {
+                Thread.currentThread().interrupt();
+              }
+            });
+    thread.setDaemon(true);
+    thread.start();
+  }
+
   @Override
   public void close() throws Exception {
     List<AutoCloseable> reversed = new ArrayList<>(toClose);
