Let each case's run.sh write record.txt and read TROUBLE itself

Cause: both were handled in review/common alone, so that nothing in a case's folder showed them.

Change: run.sh empties record.txt beside it, hands it and TROUBLE to the test, and says what is left out with TROUBLE=0. Stand-ins, loads and checks are the same.

--- a/review/common/Record.java
+++ b/review/common/Record.java
@@ -6,7 +6,7 @@
 import java.nio.file.Path;
 import java.util.Locale;
 
-/** Writes record.txt: what was sent, answered and run, with the time since the start of the test. */
+/** Writes the record of a test: what was sent, answered and run, with the time since the start of the test. */
 public final class Record implements AutoCloseable {
 
   private final PrintWriter out;
--- a/review/common/Test.java
+++ b/review/common/Test.java
@@ -22,15 +22,16 @@
   public final Path folder;
   public final Record record;
 
-  /** Whether the disruption takes place; not with TROUBLE=0. */
-  public final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+  /** Whether the disruption takes place. */
+  public final boolean trouble;
 
   private final List<AutoCloseable> toClose = new ArrayList<>();
 
-  private Test(Path root, Path caseFolder) throws IOException {
+  private Test(Path root, Path recordFile, boolean trouble) throws IOException {
     this.root = root;
+    this.trouble = trouble;
     folder = Files.createTempDirectory("review");
-    record = new Record(caseFolder.resolve("record.txt"));
+    record = new Record(recordFile);
   }
 
   public <T extends AutoCloseable> T ends(T started) {
@@ -40,11 +41,15 @@
     return started;
   }
 
-  /** Runs a test: exit code 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+  /**
+   * Runs a test with the arguments of its run.sh: the repository's root, the file to write the record
+   * to, and 0 for no disruption. Exit code 1 if the rule was broken, 0 if it held, 2 if the case
+   * could not run.
+   */
   public static void main(String[] args, Body body) {
     int code = 2;
     endAfter(MAX_SECONDS);
-    try (Test test = new Test(Path.of(args[0]), Path.of(args[1]))) {
+    try (Test test = new Test(Path.of(args[0]), Path.of(args[1]), !args[2].equals("0"))) {
       test.record.line("disruption: %s", test.trouble ? "yes" : "no");
       List<String> breaks = body.run(test);
       breaks.forEach(each -> test.record.line("BROKEN: %s", each));
