Answer every request of a shutdown before the platform's kill, however late it is read

Cause: a drain had no end. Gateway.drain closes idle connections only, and ClientConnection.processCommands began each command that was read with its whole time.

Requests that start after the order have no later deadline; requests still open at that time, with deadlines above 3 s, are ended there; clients' connections start no read after it, so that what comes later crosses the close unread. The loops of a many-tenant gateway follow the same schedule.

Why it holds for every timing: a request is read before that time, and then answered by it, or it is not read.

--- a/core/src/main/java/shelffront/routing/RoutingSettings.java
+++ b/core/src/main/java/shelffront/routing/RoutingSettings.java
@@ -27,4 +27,10 @@
     SafetyRules safetyRules,
     OperatingLimits limits,
     double crossZoneCost,
-    double healthCheckCost) {}
+    double healthCheckCost) {
+
+  /** The longest deadline of all request classes; 0 without classes. */
+  public long longestDeadlineMicros() {
+    return requestClasses.stream().mapToLong(RequestClass::deadlineMicros).max().orElse(0);
+  }
+}
--- a/core/src/main/java/shelffront/time/package-info.java
+++ b/core/src/main/java/shelffront/time/package-info.java
@@ -1,2 +1,2 @@
-/** Timers for code that has no clock of its own. */
+/** Timers and schedules for code that has no clock of its own. */
 package shelffront.time;
--- a/gateway/src/main/java/shelffront/frontend/ClientConnection.java
+++ b/gateway/src/main/java/shelffront/frontend/ClientConnection.java
@@ -148,6 +148,11 @@
     return inputFailure != null;
   }
 
+  @Override
+  protected boolean mayStartRead() {
+    return frontend.readsRequests();
+  }
+
   @Override
   protected boolean wantsInput() {
     return inputFailure == null && !handshake.isLookingUpTenant() && !queuedCommands.isFull();
@@ -308,17 +313,17 @@
       return;
     }
     ParsedRequest parsed =
-        RequestParser.parse(statement, arrivalMicros, handler.requestClasses(), this);
+        RequestParser.parse(
+            statement,
+            arrivalMicros,
+            frontend.latestDeadlineMicros(),
+            handler.requestClasses(),
+            this);
     handler.validate(parsed.request());
     network.counters().add(Counters.Name.REQUESTS_TAKEN);
     commandDeadline.cancel();
     current = parsed.request();
-    handler.handle(
-        parsed.request(),
-        parsed.session(),
-        parsed.replicaSet(),
-        parsed.requiredPositionMicros(),
-        parsed.repeat());
+    parsed.startWith(handler);
   }
 
   @Override
@@ -327,29 +332,26 @@
       onFailed(); // The memory budget has no room for the value until the client reads it.
       return;
     }
-    network.counters().add(Counters.Name.ANSWERS_SERVED);
-    finishRequest(messages);
+    finishRequest(Counters.Name.ANSWERS_SERVED, messages);
   }
 
   @Override
   public void onRejected(long retryAfterMicros) {
-    network.counters().add(Counters.Name.ANSWERS_REFUSED);
-    finishRequest(ClientErrors.rejected(retryAfterMicros));
+    finishRequest(Counters.Name.ANSWERS_REFUSED, ClientErrors.rejected(retryAfterMicros));
   }
 
   @Override
   public void onUnavailable() {
-    network.counters().add(Counters.Name.ANSWERS_REFUSED);
-    finishRequest(ClientErrors.unavailable());
+    finishRequest(Counters.Name.ANSWERS_REFUSED, ClientErrors.unavailable());
   }
 
   @Override
   public void onFailed() {
-    network.counters().add(Counters.Name.ANSWERS_FAILED);
-    finishRequest(ClientErrors.failed());
+    finishRequest(Counters.Name.ANSWERS_FAILED, ClientErrors.failed());
   }
 
-  private void finishRequest(byte[] messages) {
+  private void finishRequest(Counters.Name counter, byte[] messages) {
+    network.counters().add(counter);
     current = null;
     respond(messages);
     onIdle();
@@ -382,11 +384,7 @@
     }
     frontend.onClosed(this);
     if (acceptedBy != frontend) {
-      FrontendConnections closedAt = frontend;
-      acceptedBy
-          .network
-          .loop()
-          .post(() -> acceptedBy.onClosedElsewhere(handshake.parameters(), closedAt));
+      acceptedBy.postClosedElsewhere(handshake.parameters(), frontend);
     }
   }
 
--- a/gateway/src/main/java/shelffront/frontend/FrontendConnections.java
+++ b/gateway/src/main/java/shelffront/frontend/FrontendConnections.java
@@ -16,6 +16,7 @@
 import shelffront.net.Network;
 import shelffront.pg.ProtocolException;
 import shelffront.pg.SqlState;
+import shelffront.time.ShutdownSchedule;
 
 /**
  * Accepts client connections up to a limit, and evicts idle ones when new clients need a slot.
@@ -55,7 +56,8 @@
   /** No slot became free within the wait: new connections are accepted and rejected at once. */
   private boolean rejectsNewConnections;
 
-  private boolean draining;
+  /** Null until a drain begins. */
+  private ShutdownSchedule shutdown;
 
   /** Runs once no accept is outstanding; null until accepting is stopped. */
   private Runnable whenStopped;
@@ -134,9 +136,7 @@
       network
           .log()
           .println("accept failed: " + failure + "; retrying in " + ACCEPT_BACKOFF_MICROS + " us");
-      network
-          .loop()
-          .scheduleAt(network.loop().nowMicros() + ACCEPT_BACKOFF_MICROS, this::acceptNext);
+      network.loop().scheduleAt(nowMicros() + ACCEPT_BACKOFF_MICROS, this::acceptNext);
     } else if (whenStopped != null) {
       whenStopped.run();
     }
@@ -192,8 +192,16 @@
     connections.add(connection);
   }
 
+  /**
+   * Tells this instance that a connection that was accepted here has closed on another loop. Called
+   * on that loop.
+   */
+  void postClosedElsewhere(Map<String, String> startup, FrontendConnections there) {
+    network.loop().post(() -> onClosedElsewhere(startup, there));
+  }
+
   /** Frees the slot of a connection that was accepted here and closed on another loop. */
-  void onClosedElsewhere(Map<String, String> startup, FrontendConnections there) {
+  private void onClosedElsewhere(Map<String, String> startup, FrontendConnections there) {
     tenantLookup.onConnectionClosed(startup, there);
     movedAwayCounts.merge(
         there, -1, (before, change) -> before + change == 0 ? null : before + change);
@@ -209,7 +217,8 @@
 
   /** Called when a connection may have become idle; closes it if the gateway drains. */
   void onMaybeIdle(ClientConnection connection) {
-    if (draining && connection.isEvictable()) {
+    boolean closesIdle = shutdown != null && nowMicros() >= shutdown.closeIdleAtMicros();
+    if (closesIdle && connection.isEvictable()) {
       connection.closeIfIdle(CloseReason.DRAINED);
     }
     acceptNext(); // An idle connection may be evicted for a client that waits in the backlog.
@@ -256,7 +265,7 @@
       network
           .loop()
           .scheduleAt(
-              network.loop().nowMicros() + ClientActivity.BRIEF_SILENCE_MICROS + 1,
+              nowMicros() + ClientActivity.BRIEF_SILENCE_MICROS + 1,
               () -> {
                 recheckScheduled = false;
                 rejectsNewConnections = true;
@@ -266,14 +275,32 @@
   }
 
   /**
-   * Closes idle connections now and others as they become idle. New connections are still accepted,
-   * because they may carry requests.
+   * Closes idle connections, and others as they become idle, once they are due by the schedule. New
+   * connections are still accepted, because they may carry requests. Called repeatedly during a
+   * drain.
    */
-  public void drain() {
-    draining = true;
+  public void drain(ShutdownSchedule schedule) {
+    shutdown = schedule;
     List.copyOf(connections).forEach(this::onMaybeIdle);
   }
 
+  /** The time by which every request must have its final response, as far as a shutdown decides. */
+  long latestDeadlineMicros() {
+    return shutdown == null ? Long.MAX_VALUE : shutdown.answerByMicros();
+  }
+
+  /**
+   * Whether requests are still read. Requests that arrive afterwards stay unread, so that their
+   * clients send them to another gateway when the connection ends.
+   */
+  boolean readsRequests() {
+    return nowMicros() < latestDeadlineMicros();
+  }
+
+  private long nowMicros() {
+    return network.loop().nowMicros();
+  }
+
   /** Whether no connection is open, lingering or moved to another loop. */
   public boolean isEmpty() {
     return connections.isEmpty() && lingering.isEmpty() && movedAwayCounts.isEmpty();
--- a/gateway/src/main/java/shelffront/frontend/RequestParser.java
+++ b/gateway/src/main/java/shelffront/frontend/RequestParser.java
@@ -29,7 +29,12 @@
       String session,
       int replicaSet,
       long requiredPositionMicros,
-      boolean repeat) {}
+      boolean repeat) {
+
+    void startWith(RequestHandler handler) {
+      handler.handle(request, session, replicaSet, requiredPositionMicros, repeat);
+    }
+  }
 
   private RequestParser() {}
 
@@ -51,10 +56,15 @@
     return true;
   }
 
-  /** Parses all parameters of the comment, so that an invalid one is reported before the start. */
+  /**
+   * Parses all parameters of the comment, so that an invalid one is reported before the start.
+   *
+   * @param latestDeadlineMicros limit of the request's deadline
+   */
   static ParsedRequest parse(
       byte[] bytes,
       long arrivalMicros,
+      long latestDeadlineMicros,
       List<RequestClass> classes,
       ClientRequest.ResponseListener listener)
       throws ProtocolException {
@@ -64,7 +74,8 @@
     if (requestClass.idempotency() == Idempotency.IDEMPOTENCY_KEY && statement.value("k") == null) {
       throw new ProtocolException(SqlState.SYNTAX_ERROR, "the class needs a key k");
     }
-    long deadlineMicros = arrivalMicros + statement.number("d", 0) * MICROS_PER_MILLI;
+    long deadlineMicros =
+        Math.min(arrivalMicros + statement.number("d", 0) * MICROS_PER_MILLI, latestDeadlineMicros);
     int replicaSet = statement.number("cluster", 0);
     String session = needsSession(requestClass.consistency()) ? statement.key() : null;
     long requiredPositionMicros = statement.positionMicros("after", Router.UNKNOWN);
--- a/gateway/src/main/java/shelffront/gateway/Gateway.java
+++ b/gateway/src/main/java/shelffront/gateway/Gateway.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import shelffront.backend.BackendConnections.Login;
 import shelffront.config.GatewayConfig;
 import shelffront.frontend.FrontendConnections;
@@ -18,6 +17,7 @@
 import shelffront.quota.ConnectionQuotas;
 import shelffront.tenant.Tenant;
 import shelffront.tenant.TenantSpec;
+import shelffront.time.ShutdownSchedule;
 
 /**
  * A listener and the tenants that it serves: either the single tenant of a configuration file, or
@@ -25,16 +25,11 @@
  *
  * <p>{@link #drain} stops the gateway gracefully: it keeps serving clients that connect during the
  * drain, closes each connection once it is idle, and stops the event loop when no connection is
- * left. Not thread-safe: runs on the event loop.
+ * left. Every request has its final response by the time of {@link ShutdownSchedule}. Not
+ * thread-safe: runs on the event loop.
  */
 public final class Gateway {
 
-  /**
-   * Delay between the start of a drain and the closing of idle connections. New connections that
-   * carry requests may arrive for 0.4 s after the stop order.
-   */
-  private static final long LATE_ARRIVAL_WINDOW_MICROS = 500_000;
-
   private static final long DRAIN_CHECK_INTERVAL_MICROS = 20_000;
 
   /**
@@ -48,9 +43,9 @@
   private final Network network;
   private final EventLoop loop;
   private final FrontendConnections clients;
-  private final BooleanSupplier backendsDrained;
-  private final Runnable closeBackends;
+  private final DrainableTenants tenants;
   private final Tenant singleTenant; // null if the gateway serves many tenants
+  private ShutdownSchedule shutdown; // null until a drain begins
   private boolean listenerStopped;
 
   /**
@@ -88,32 +83,47 @@
                 return singleTenant;
               }
             });
-    backendsDrained = singleTenant::hasNoOpenRequests;
-    closeBackends = () -> singleTenant.close(CloseReason.DRAINED);
+    tenants = drainable(singleTenant);
   }
 
   /**
    * Creates a gateway with many tenants. The startup message of a client determines its tenant.
    *
-   * @param drained returns whether no tenant has an open request; polled during a drain
-   * @param closeBackends closes the tenants' connections to hosts and discovery
+   * @param tenants the tenants that {@code tenantLookup} finds
    */
   public Gateway(
       Network network,
       InetSocketAddress listenAddress,
       int maxSockets,
       TenantLookup tenantLookup,
-      BooleanSupplier drained,
-      Runnable closeBackends)
+      DrainableTenants tenants)
       throws IOException {
     this.network = network;
-    this.closeBackends = closeBackends;
+    this.tenants = tenants;
     loop = network.loop();
     singleTenant = null;
     clients =
         new FrontendConnections(
             network, listenAddress, clientConnectionLimit(maxSockets), tenantLookup);
-    backendsDrained = drained;
+  }
+
+  private static DrainableTenants drainable(Tenant tenant) {
+    return new DrainableTenants() {
+      @Override
+      public long longestDeadlineMicros() {
+        return tenant.spec().settings().longestDeadlineMicros();
+      }
+
+      @Override
+      public boolean drain(ShutdownSchedule schedule) {
+        return tenant.drain(schedule);
+      }
+
+      @Override
+      public void close() {
+        tenant.close(CloseReason.DRAINED);
+      }
+    };
   }
 
   /** Returns the maximum number of host connections for a given number of sockets. */
@@ -182,23 +192,27 @@
 
   /**
    * Stops the gateway gracefully. New connections are accepted until all connections are closed and
-   * no request is open; then the listener closes and the loop stops. The drain has no time limit of
-   * its own: callers that wait for it must bound their wait.
+   * no request is open; then the listener closes and the loop stops. Requests end by the time of
+   * the schedule, but a client that does not read its response keeps its connection open: callers
+   * that wait for the drain must bound their wait.
    */
   public void drain() {
     network.log().println("stopping");
-    loop.scheduleAt(loop.nowMicros() + LATE_ARRIVAL_WINDOW_MICROS, this::stopWhenDone);
+    shutdown = ShutdownSchedule.beginningAt(loop.nowMicros(), tenants.longestDeadlineMicros());
+    clients.drain(shutdown);
+    tenants.drain(shutdown);
+    loop.scheduleAt(shutdown.closeIdleAtMicros(), this::stopWhenDone);
   }
 
   /**
-   * Closes idle connections, and stops the gateway if no connection is left and no request is open.
-   * Repeats itself until then, so that clients that connect late or send nothing do not delay the
-   * stop.
+   * Applies what is due by the schedule, and stops the gateway if no connection is left and no
+   * request is open. Repeats itself until then, so that clients that connect late or send nothing
+   * do not delay the stop.
    */
   private void stopWhenDone() {
-    clients.drain();
+    clients.drain(shutdown);
     // Evaluated in every pass, since the call also makes the other event loops drain.
-    boolean drained = backendsDrained.getAsBoolean();
+    boolean drained = tenants.drain(shutdown);
     if (!clients.isEmpty() || !drained) {
       loop.scheduleAt(loop.nowMicros() + DRAIN_CHECK_INTERVAL_MICROS, this::stopWhenDone);
       return;
@@ -217,6 +231,6 @@
   /** Closes all sockets immediately. Must run on the event loop, or after the loop has ended. */
   public void close() {
     clients.close();
-    closeBackends.run();
+    tenants.close();
   }
 }
--- a/gateway/src/main/java/shelffront/multitenant/EventLoopGroup.java
+++ b/gateway/src/main/java/shelffront/multitenant/EventLoopGroup.java
@@ -12,6 +12,7 @@
 import shelffront.frontend.FrontendConnections;
 import shelffront.frontend.RequestHandler;
 import shelffront.frontend.TenantLookup;
+import shelffront.gateway.DrainableTenants;
 import shelffront.gateway.Gateway;
 import shelffront.net.CloseReason;
 import shelffront.net.Counters;
@@ -28,6 +29,7 @@
 import shelffront.tenant.Tenant;
 import shelffront.tenant.TenantRegistry;
 import shelffront.tenant.TenantSpec;
+import shelffront.time.ShutdownSchedule;
 
 /**
  * The event loops of a multi-tenant gateway. The first loop owns the listener and the assignment of
@@ -41,13 +43,11 @@
  *
  * <p>Methods run on the thread of the first loop unless stated otherwise.
  */
-final class EventLoopGroup implements TenantLookup {
+final class EventLoopGroup implements TenantLookup, DrainableTenants {
 
   /** Time without clients after which a tenant provided by distribution is evicted. */
   private static final long UNUSED_TENANT_TIMEOUT_MICROS = 600_000_000;
 
-  private record LoopMember(Network network, TenantRegistry tenants) {}
-
   private final List<LoopMember> members = new ArrayList<>();
   private final List<FrontendConnections> frontends = new ArrayList<>();
   private final List<Thread> threads = new ArrayList<>();
@@ -198,28 +198,7 @@
         CompletableFuture.completedFuture(
             new MultiTenantGateway.HeldResources(0, 0, new Counters()));
     for (LoopMember member : members) {
-      CompletableFuture<MultiTenantGateway.HeldResources> resources = new CompletableFuture<>();
-      Network network = member.network();
-      network
-          .loop()
-          .post(
-              () -> {
-                Counters copy = new Counters();
-                copy.addAll(network.counters());
-                resources.complete(
-                    new MultiTenantGateway.HeldResources(
-                        network.loop().deadlineCount(), network.budget().held(), copy));
-              });
-      sum =
-          sum.thenCombine(
-              resources,
-              (total, loopResources) -> {
-                total.counters().addAll(loopResources.counters());
-                return new MultiTenantGateway.HeldResources(
-                    total.deadlines() + loopResources.deadlines(),
-                    loopResources.bufferBytes(),
-                    total.counters());
-              });
+      sum = sum.thenCombine(member.heldResources(), MultiTenantGateway.HeldResources::plusLoop);
     }
     return sum;
   }
@@ -361,22 +340,28 @@
 
   // ---- Stopping
 
+  @Override
+  public long longestDeadlineMicros() {
+    return assignments.values().stream()
+        .mapToLong(assignment -> assignment.spec.settings().longestDeadlineMicros())
+        .max()
+        .orElse(0);
+  }
+
   /**
    * Requests every other loop to drain. Returns whether the first loop has no open request and the
    * others had no connection or open request when they last replied.
    */
-  boolean isDrained() {
-    boolean all = members.get(0).tenants().hasNoOpenRequests();
+  @Override
+  public boolean drain(ShutdownSchedule schedule) {
+    boolean all = members.get(0).tenants().drain(schedule);
     for (int i = 1; i < members.size(); i++) {
       int loopIndex = i;
       loop(i)
           .post(
               () -> {
-                frontends.get(loopIndex).drain();
-                boolean empty =
-                    frontends.get(loopIndex).isEmpty()
-                        && members.get(loopIndex).tenants().hasNoOpenRequests();
-                firstNetwork.loop().post(() -> drained[loopIndex] = empty);
+                boolean done = members.get(loopIndex).drain(frontends.get(loopIndex), schedule);
+                firstNetwork.loop().post(() -> drained[loopIndex] = done);
               });
       all &= drained[i];
     }
@@ -384,17 +369,11 @@
   }
 
   /** Closes the tenants of all loops and stops the other loops. */
-  void close() {
+  @Override
+  public void close() {
     members.get(0).tenants().close(CloseReason.DRAINED);
     for (int i = 1; i < members.size(); i++) {
-      LoopMember member = members.get(i);
-      loop(i)
-          .post(
-              () -> {
-                member.tenants().close(CloseReason.DRAINED);
-                firstNetwork.log().println(member.network().counters());
-                member.network().loop().stop();
-              });
+      loop(i).post(members.get(i)::stop);
     }
   }
 }
--- a/gateway/src/main/java/shelffront/multitenant/MultiTenantGateway.java
+++ b/gateway/src/main/java/shelffront/multitenant/MultiTenantGateway.java
@@ -68,9 +68,7 @@
       fleetTenants =
           config.distribution() == null ? null : new FleetTenants(config.distribution(), this, log);
       administration = createAdministration();
-      gateway =
-          new Gateway(
-              network, config.listen(), config.sockets(), loops, loops::isDrained, loops::close);
+      gateway = new Gateway(network, config.listen(), config.sockets(), loops, loops);
       loops.addFrontends(gateway.clients());
       administration.start();
       addMissingTenants(config);
@@ -225,7 +223,14 @@
   }
 
   /** Resources held by all event loops together; tests use them to detect leaks. */
-  public record HeldResources(int deadlines, long bufferBytes, Counters counters) {}
+  public record HeldResources(int deadlines, long bufferBytes, Counters counters) {
+
+    /** Adds the resources of one loop; all loops report the same shared buffers. */
+    HeldResources plusLoop(HeldResources loop) {
+      counters.addAll(loop.counters);
+      return new HeldResources(deadlines + loop.deadlines, loop.bufferBytes, counters);
+    }
+  }
 
   public CompletableFuture<HeldResources> heldResources() {
     return loops.heldResources();
--- a/gateway/src/main/java/shelffront/net/Connection.java
+++ b/gateway/src/main/java/shelffront/net/Connection.java
@@ -87,6 +87,14 @@
     return true;
   }
 
+  /**
+   * Whether a read may be started. While it may not, input stays in the system's buffer, and the
+   * peer's close is not detected. A lingering close reads all the same.
+   */
+  protected boolean mayStartRead() {
+    return true;
+  }
+
   /** Whether all further input is discarded, while the peer's close is still detected. */
   protected boolean discardsInput() {
     return false;
--- a/gateway/src/main/java/shelffront/net/ConnectionReader.java
+++ b/gateway/src/main/java/shelffront/net/ConnectionReader.java
@@ -82,7 +82,7 @@
         return;
       }
     }
-    if (!reading) {
+    if (!reading && connection.mayStartRead()) {
       startRead();
     }
   }
--- a/gateway/src/main/java/shelffront/tenant/OpenRequests.java
+++ b/gateway/src/main/java/shelffront/tenant/OpenRequests.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import shelffront.request.ClientRequest;
+import shelffront.routing.RequestClass;
 
 /**
  * The admitted requests of one tenant. Each request is completed exactly once and is kept until its
@@ -45,11 +46,6 @@
     return requestsById.values().stream().allMatch(request -> request.completed);
   }
 
-  /** Returns a copy, so that requests may end during the iteration. */
-  List<ClientRequest> copy() {
-    return List.copyOf(requestsById.values());
-  }
-
   void clear() {
     requestsById.clear();
   }
@@ -73,6 +69,26 @@
     removeIfFinished(request);
   }
 
+  /**
+   * Completes every open request: with the rejection if it is safe to repeat, as failed otherwise.
+   *
+   * @param onAborted receives the id of each request before its response is delivered
+   */
+  void abortAll(
+      List<RequestClass> requestClasses,
+      Consumer<String> onAborted,
+      Consumer<ClientRequest.ResponseListener> rejection) {
+    for (ClientRequest request : List.copyOf(requestsById.values())) {
+      if (!request.completed) {
+        request.completed = true;
+        onAborted.accept(request.id);
+        boolean safeToRepeat =
+            request.attempts.isEmpty() || requestClasses.get(request.classIndex).isIdempotent();
+        complete(request, safeToRepeat ? rejection : ClientRequest.ResponseListener::onFailed);
+      }
+    }
+  }
+
   /** Removes a request that is completed and has no outstanding attempt. */
   void removeIfFinished(ClientRequest request) {
     if (request.completed && request.attempts.stream().noneMatch(attempt -> attempt.outstanding)) {
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import shelffront.frontend.ClientHandle;
 import shelffront.frontend.RequestHandler;
 import shelffront.net.CloseReason;
@@ -17,6 +18,7 @@
 import shelffront.request.ClientRequest;
 import shelffront.routing.Request;
 import shelffront.routing.RequestClass;
+import shelffront.time.ShutdownSchedule;
 
 /**
  * One tenant served by a gateway: its lifecycle, its clients and the admission of their requests.
@@ -33,6 +35,9 @@
   /** Time without clients after which a tenant of a shared gateway is suspended. */
   private static final long SUSPENSION_DELAY_MICROS = 30_000_000;
 
+  /** Retry-After of requests that a shutdown ends; other gateways serve them at once. */
+  private static final long SHUTDOWN_RETRY_AFTER_MICROS = 200_000;
+
   private final TenantContext context;
   private final long seed;
   private final ConnectionQuotas hostConnectionQuotas;
@@ -213,6 +218,21 @@
     }
   }
 
+  /**
+   * Continues a drain of the gateway: ends the requests that are still open at the end of the
+   * schedule.
+   *
+   * @return whether no request is open
+   */
+  public boolean drain(ShutdownSchedule schedule) {
+    if (context.nowMicros() >= schedule.answerByMicros()) {
+      long retryAfterMicros =
+          context.spec().settings().limits().retryAfterMicros(SHUTDOWN_RETRY_AFTER_MICROS);
+      abortOpenRequests(client -> client.onRejected(retryAfterMicros));
+    }
+    return hasNoOpenRequests();
+  }
+
   // ---- Removal
 
   /**
@@ -252,7 +272,7 @@
       return;
     }
     context.setState(TenantState.REMOVED);
-    requests.copy().forEach(this::abortOpenRequest);
+    abortOpenRequests(ClientRequest.ResponseListener::onUnavailable);
     List.copyOf(clients)
         .forEach(client -> client.endWithError(removalError(), CloseReason.TENANT_GONE));
     close(CloseReason.TENANT_GONE);
@@ -260,21 +280,12 @@
     completeRemoval();
   }
 
-  private void abortOpenRequest(ClientRequest request) {
-    if (request.completed) {
-      return;
-    }
-    // Reported as a client disconnect, so that the router cancels outstanding attempts and does not
-    // count the request any more.
-    request.completed = true;
-    routing.onClientDisconnected(request.id);
-    boolean safeToRepeat =
-        request.attempts.isEmpty() || requestClasses().get(request.classIndex).isIdempotent();
-    requests.complete(
-        request,
-        safeToRepeat
-            ? ClientRequest.ResponseListener::onUnavailable
-            : ClientRequest.ResponseListener::onFailed);
+  /**
+   * Ends all open requests. The router is told that their clients have disconnected, so that it
+   * cancels outstanding attempts and does not count the requests any more.
+   */
+  private void abortOpenRequests(Consumer<ClientRequest.ResponseListener> rejection) {
+    requests.abortAll(requestClasses(), id -> routing.onClientDisconnected(id), rejection);
   }
 
   private void completeRemoval() {
--- a/gateway/src/main/java/shelffront/tenant/TenantRegistry.java
+++ b/gateway/src/main/java/shelffront/tenant/TenantRegistry.java
@@ -14,6 +14,7 @@
 import shelffront.quota.ConnectionQuotas;
 import shelffront.quota.DeficitRoundRobin.Flow;
 import shelffront.quota.TenantQuotas;
+import shelffront.time.ShutdownSchedule;
 
 /**
  * The tenants of one event loop by name. Authenticates clients by the tenant that their startup
@@ -145,10 +146,18 @@
     return tenant == null ? null : tenant.usage();
   }
 
-  /** Whether no request of any tenant is open. */
-  public boolean hasNoOpenRequests() {
-    return tenants.values().stream().allMatch(Tenant::hasNoOpenRequests)
-        && draining.keySet().stream().allMatch(Tenant::hasNoOpenRequests);
+  /**
+   * Continues a drain of the gateway for every tenant; returns whether no request of any tenant is
+   * open.
+   */
+  public boolean drain(ShutdownSchedule schedule) {
+    List<Tenant> all = new ArrayList<>(tenants.values());
+    all.addAll(draining.keySet());
+    boolean drained = true;
+    for (Tenant tenant : all) {
+      drained &= tenant.drain(schedule);
+    }
+    return drained;
   }
 
   /** Closes all tenants, including those that are being removed. */
