Prove that a host's response is no second copy of the one before it on its connection

Cause: the host's system holds the copy back until the answer is acknowledged, which happens with the next request on that connection. BackendConnection looked for surplus only as a response ended and on idle connections, and took whatever came after a request was written for its response; a copied 53300 proved a running write "never executed". Ruled out: our own order of reads and writes (the record shows the host's copy directly before the foreign answer, on the same connection).

Change: ResponseVerifier. A response whose row or error differs from the last verified one is the call's own; an equal one is followed by an empty query, whose response tells. Until then the call has no outcome, also where the connection ends. Health checks go the same way. Exchanges whose hosts gave several requests the same row give distinct ones, which is stricter: a foreign answer shows.

Why it holds for every timing: nothing in it depends on when a copy comes. Waiting or acknowledging at once would narrow the window alone.

Cost: one checksum a response, and one empty query where two responses in a row are equal.

--- a/gateway/src/main/java/shelffront/backend/BackendConnection.java
+++ b/gateway/src/main/java/shelffront/backend/BackendConnection.java
@@ -16,12 +16,14 @@
  * A connection to a database host.
  *
  * <p>Invariants: a connection runs one call at a time; a call is written only after the host has
- * sent ReadyForQuery; abandoning a call closes the connection; bytes that belong to no call close
+ * sent ReadyForQuery; a call ends with a response only if {@link ResponseVerifier} proves that it
+ * belongs to the call; abandoning a call closes the connection; bytes that belong to no call close
  * it too. Runs on the loop thread.
  */
 final class BackendConnection extends Connection {
 
   private static final int MAX_STARTUP_MESSAGE_BYTES = 8192;
+  private static final byte[] EMPTY_QUERY = Message.query(new byte[0]);
 
   /**
    * Hosts send a response in one piece or in quick succession, so a response that is still
@@ -43,7 +45,8 @@
   private boolean messageIncomplete;
 
   private boolean malformed;
-  private QueryResponse response = new QueryResponse();
+  private final ResponseVerifier verifier = new ResponseVerifier(() -> write(EMPTY_QUERY));
+  private QueryResponse response = new QueryResponse(false);
 
   /** Bytes of the response that are charged to the memory budget. */
   private int reservedBytes;
@@ -189,24 +192,34 @@
       return false;
     }
     response.apply(message);
-    if (!network.budget().tryAcquire(response.keptBytes() - reservedBytes)) {
+    int keptBytes = response.keptBytes() + verifier.heldBytes();
+    if (!network.budget().tryAcquire(keptBytes - reservedBytes)) {
       close(CloseReason.NO_MEMORY);
       return false;
     }
-    reservedBytes = response.keptBytes();
+    reservedBytes = keptBytes;
     if (response.isComplete()) {
       // If the buffer is full, surplus bytes may still be unread in the socket.
-      finish(bytes.hasRemaining() || bytes.limit() == bytes.capacity());
+      onResponseComplete(bytes.hasRemaining() || bytes.limit() == bytes.capacity());
     } else if (response.isFatal()) {
       close(CloseReason.REFUSED_BY_HOST);
     }
     return true;
   }
 
-  private void finish(boolean surplus) {
+  private void onResponseComplete(boolean surplus) {
+    QueryResponse verified = verifier.verify(response);
+    if (verified != null) {
+      finish(verified, surplus || verifier.isCheckOutstanding());
+    } else {
+      awaitNextResponse();
+    }
+  }
+
+  private void finish(QueryResponse verified, boolean surplus) {
     BackendCall completedCall = call;
     call = null;
-    BackendResponse outcome = response.toBackendResponse(completedCall.attempt == null);
+    BackendResponse outcome = verified.toBackendResponse(completedCall.attempt == null);
     discardResponse();
     if (surplus) {
       close(CloseReason.SURPLUS);
@@ -230,14 +243,15 @@
     call = null;
     BackendResponse outcome = null;
     if (interruptedCall != null) {
-      boolean outcomeKnown =
+      boolean outcomeReceived =
           response.isOutcomeKnown()
               && !messageIncomplete
               && !malformed
               && reason != CloseReason.NO_MEMORY;
+      QueryResponse verified = outcomeReceived ? verifier.verify(response) : null;
       outcome =
-          outcomeKnown
-              ? response.toBackendResponse(interruptedCall.attempt == null)
+          verified != null
+              ? verified.toBackendResponse(interruptedCall.attempt == null)
               : BackendResponse.of(
                   malformed
                       ? AttemptStatus.ERROR
@@ -255,11 +269,15 @@
    * buffer of the size of its largest response.
    */
   private void discardResponse() {
-    cancel(responseDeadline);
-    responseDeadline = null;
+    awaitNextResponse();
     network.budget().release(reservedBytes);
     reservedBytes = 0;
-    response = new QueryResponse();
+  }
+
+  private void awaitNextResponse() {
+    cancel(responseDeadline);
+    responseDeadline = null;
+    response = new QueryResponse(verifier.allowsEmptyQueryResponse());
   }
 
   @Override
--- a/gateway/src/main/java/shelffront/backend/QueryResponse.java
+++ b/gateway/src/main/java/shelffront/backend/QueryResponse.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.zip.CRC32;
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
 import shelffront.pg.SqlState;
@@ -13,8 +14,9 @@
 
 /**
  * Parses a host's response to one query: RowDescription, one DataRow with one column and
- * CommandComplete, or an ErrorResponse; then ReadyForQuery. Any other message sequence or content
- * is malformed, and no part of a malformed response is used.
+ * CommandComplete, or an ErrorResponse, or an EmptyQueryResponse where one is allowed; then
+ * ReadyForQuery. Any other message sequence or content is malformed, and no part of a malformed
+ * response is used.
  */
 final class QueryResponse {
 
@@ -39,12 +41,24 @@
   private static final Set<String> REPORTED_PARAMETERS =
       Set.of("server_role", "commit_clock", "usage");
 
+  private final boolean emptyQueryAllowed;
   private final ByteArrayOutputStream messages = new ByteArrayOutputStream();
+  private final CRC32 checksum = new CRC32();
   private final Map<String, String> parameters = new HashMap<>();
   private Stage expectedStage = Stage.DESCRIPTION;
   private String value; // the single column of the row
   private String errorCode;
   private boolean fatal;
+  private boolean toEmptyQuery;
+
+  /**
+   * Creates a response of which nothing has been received.
+   *
+   * @param emptyQueryAllowed whether it may be the response to an empty query
+   */
+  QueryResponse(boolean emptyQueryAllowed) {
+    this.emptyQueryAllowed = emptyQueryAllowed;
+  }
 
   /**
    * Reads the next message, or returns null if more bytes are needed. Type and length are checked
@@ -53,7 +67,7 @@
   Message next(ByteBuffer in) throws ProtocolException {
     String types =
         switch (expectedStage) {
-          case DESCRIPTION -> "TESN";
+          case DESCRIPTION -> emptyQueryAllowed ? "TESNI" : "TESN";
           case ROW -> "DESN";
           case COMPLETION -> "CESN";
           case READY -> "ZSN";
@@ -96,6 +110,10 @@
         keep(message, Stage.READY);
       }
       case 'E' -> applyError(message);
+      case 'I' -> {
+        toEmptyQuery = true;
+        expectedStage = Stage.READY;
+      }
       default -> {
         if (message.body().length != 1 || message.body()[0] != 'I') {
           throw new ProtocolException(
@@ -111,6 +129,7 @@
 
   private void applyError(Message message) throws ProtocolException {
     Map<Character, String> fields = message.errorFields();
+    checksum.update(message.body());
     errorCode = fields.getOrDefault('C', "");
     fatal = "FATAL".equals(fields.get('S'));
     if (!errorCode.matches("[0-9A-Z]{5}")) {
@@ -124,7 +143,9 @@
   }
 
   private void keep(Message message, Stage next) {
-    messages.writeBytes(message.bytes());
+    byte[] bytes = message.bytes();
+    messages.writeBytes(bytes);
+    checksum.update(bytes);
     expectedStage = next;
   }
 
@@ -148,6 +169,19 @@
     return fatal;
   }
 
+  /** Whether this is the response to an empty query. */
+  boolean isToEmptyQuery() {
+    return toEmptyQuery;
+  }
+
+  /**
+   * Checksum of the row or the error. Two copies of a response have the same one, even if their
+   * ParameterStatus messages differ. Not negative.
+   */
+  long checksum() {
+    return checksum.getValue();
+  }
+
   /** Size of the messages kept for the client, in bytes. */
   int keptBytes() {
     return messages.size();
--- a/gateway/src/main/java/shelffront/training/TrainingRun.java
+++ b/gateway/src/main/java/shelffront/training/TrainingRun.java
@@ -151,6 +151,10 @@
     while (true) {
       in.readUnsignedByte();
       byte[] query = in.readNBytes(in.readInt() - 4);
+      if (query.length == 1) { // an empty query, only the terminating zero
+        out.write(concatenate(Message.emptyQueryResponse(), Message.readyForQuery()));
+        continue;
+      }
       boolean healthCheck = new String(query, ISO_8859_1).startsWith("SHOW");
       String value =
           healthCheck ? "x0=" + System.currentTimeMillis() / 1000 + ",x1=1,queue=0" : "value";
--- a/lab/src/main/java/shelffront/lab/emulator/EmulatedHostConnection.java
+++ b/lab/src/main/java/shelffront/lab/emulator/EmulatedHostConnection.java
@@ -73,6 +73,11 @@
     if (environment.isSilent(host)) {
       return;
     }
+    if (text.isEmpty()) {
+      send(Message.emptyQueryResponse());
+      send(Message.readyForQuery());
+      return;
+    }
     if (text.startsWith("SHOW")) {
       reportRole(host.isPrimary());
       sendRow(loadReport(), "SHOW");
