Judge what a host sends only once the request before it is known to be written

Cause: a second copy of the response before may arrive after the next request was sent but before the event loop learns that its write is complete. BackendConnection called that a malformed response, so the attempt counted as possibly executed, and a class that must not run twice failed.

Change: while the write is not known to be complete, input is read ahead and not judged; then ResponseVerifier tells a copy from the response. Recorded exchanges can withhold the completion of writes (`stall`, `flow`).

--- a/gateway/src/main/java/shelffront/backend/BackendConnection.java
+++ b/gateway/src/main/java/shelffront/backend/BackendConnection.java
@@ -9,7 +9,6 @@
 import shelffront.net.Network;
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
-import shelffront.pg.SqlState;
 import shelffront.routing.AttemptStatus;
 
 /**
@@ -105,6 +104,16 @@
   @Override
   protected void onOutputWritten() {
     requestWritten = call != null;
+    readMore();
+  }
+
+  /**
+   * Whether input can be judged: a response is processed after its request was written completely.
+   * What arrives before that may be a second copy of the response to the previous request.
+   */
+  @Override
+  protected boolean wantsInput() {
+    return call == null || requestWritten;
   }
 
   /** Closes the connection: it cannot be reused, because the response is still outstanding. */
@@ -168,9 +177,7 @@
 
   /**
    * Processes a message of the response; false if no complete one is available. Bytes that arrive
-   * while no request is active, or before the request was written completely, such as a second copy
-   * of a response, close the connection. Otherwise they would be read as the response to the next
-   * request.
+   * while no request is active, such as a second copy of a response, close the connection.
    */
   private boolean processResponseMessage(ByteBuffer bytes) throws ProtocolException {
     if (!bytes.hasRemaining()) {
@@ -180,13 +187,6 @@
       close(CloseReason.SURPLUS);
       return false;
     }
-    if (!requestWritten) {
-      throw new ProtocolException(
-          SqlState.PROTOCOL_VIOLATION,
-          "received "
-              + bytes.remaining()
-              + " bytes before the request was written completely, expected none");
-    }
     Message message = response.next(bytes);
     if (message == null) {
       return false;
--- a/gateway/src/test/java/shelffront/gateway/ObservedChannels.java
+++ b/gateway/src/test/java/shelffront/gateway/ObservedChannels.java
@@ -8,6 +8,8 @@
 import java.nio.channels.AsynchronousServerSocketChannel;
 import java.nio.channels.AsynchronousSocketChannel;
 import java.nio.channels.CompletionHandler;
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -32,12 +34,50 @@
   /** Writes whose completion handler has not run yet. */
   final AtomicLong pendingWrites = new AtomicLong();
 
+  /** Results of writes to report later; null while they are reported at once. */
+  private Queue<Runnable> deferredWriteResults;
+
   private final Channels systemChannels;
 
   ObservedChannels() throws IOException {
     systemChannels = Channels.sockets(1);
   }
 
+  /** From now on, the results of writes are reported only by {@link #reportWrites}. */
+  synchronized void deferWriteResults() {
+    deferredWriteResults = new ArrayDeque<>();
+  }
+
+  /** Reports the results of writes that were deferred, and further ones at once. */
+  synchronized void reportWrites() {
+    deferredWriteResults.forEach(Runnable::run);
+    deferredWriteResults = null;
+  }
+
+  private synchronized void reportWrite(Runnable result) {
+    if (deferredWriteResults == null) {
+      result.run();
+    } else {
+      deferredWriteResults.add(result);
+    }
+  }
+
+  /** Passes the result of a write on, at once or when writes are reported. */
+  private <A> CompletionHandler<Integer, A> deferrable(
+      CompletionHandler<Integer, ? super A> handler) {
+    return new CompletionHandler<>() {
+      @Override
+      public void completed(Integer count, A attachment) {
+        reportWrite(() -> handler.completed(count, attachment));
+      }
+
+      @Override
+      public void failed(Throwable failure, A attachment) {
+        reportWrite(() -> handler.failed(failure, attachment));
+      }
+    };
+  }
+
   @Override
   public AsynchronousSocketChannel open() throws IOException {
     return new ObservedChannel(systemChannels.open());
@@ -262,7 +302,7 @@
           timeout,
           unit,
           attachment,
-          observing(handler, (count, failure) -> pendingWrites.decrementAndGet()));
+          deferrable(observing(handler, (count, failure) -> pendingWrites.decrementAndGet())));
     }
 
     @Override
--- a/gateway/src/test/java/shelffront/gateway/RecordedExchangeRunner.java
+++ b/gateway/src/test/java/shelffront/gateway/RecordedExchangeRunner.java
@@ -138,6 +138,8 @@
         activeHold.countDown();
         activeHold = null;
       }
+      case "stall" -> channels.deferWriteResults();
+      case "flow" -> channels.reportWrites();
       case "log" -> awaitLog(expand(String.join(" ", verb, rest).strip()));
       case "reload" -> reload(expand(String.join(" ", verb, rest)));
       case "stop" -> loop.post(gateway::drain);
