Let all connections of a shutdown wait for their clients' ends, not a sixteenth of them

In a shutdown all connections end at once, from 0.5 s on and again when the last responses are written, often over requests that crossed the end and stay unread.

Cause: FrontendConnections.onLingering closes the oldest lingering connection at once when there are more than a sixteenth of the places, which saves descriptors in service. A close over unread input resets the connection, and a reset may destroy a response that was just written.

Change: in a shutdown the limit does not apply; lingering connections occupy places instead, so that no more descriptors are used.

Not seen as a lost response: on loopback the response arrives before the reset.

--- a/gateway/src/main/java/shelffront/frontend/FrontendConnections.java
+++ b/gateway/src/main/java/shelffront/frontend/FrontendConnections.java
@@ -29,7 +29,10 @@
 
   private static final int BACKLOG = 1024;
 
-  /** Lingering connections are allowed beyond the connection limit, up to this fraction of it. */
+  /**
+   * Lingering connections are allowed beyond the connection limit, up to this fraction of it. In a
+   * shutdown they count against the limit instead, and all may linger.
+   */
   private static final int LINGERING_DIVISOR = 16;
 
   private static final long ACCEPT_BACKOFF_MICROS = 20_000;
@@ -113,7 +116,7 @@
     ClientConnection connection = new ClientConnection(this, channel);
     connections.add(connection);
     connection.start();
-    if (connections.size() + movedAwayCount() > maxConnections && !evict()) {
+    if (occupiedSlots() > maxConnections && !evict()) {
       connection.endWithError(
           new ProtocolException(SqlState.TOO_MANY_CONNECTIONS, "too many connections"),
           CloseReason.NO_PLACE);
@@ -173,8 +176,8 @@
     return victim != null && victim.closeIfIdle(CloseReason.EVICTED);
   }
 
-  private int movedAwayCount() {
-    int count = 0;
+  private int occupiedSlots() {
+    int count = connections.size() + (shutdown == null ? 0 : lingering.size());
     for (int each : movedAwayCounts.values()) {
       count += each;
     }
@@ -226,12 +229,13 @@
 
   /**
    * The output of the connection is shut down. It frees its slot but still uses a descriptor, so
-   * the oldest lingering connection is closed when there are too many.
+   * the oldest lingering connection is closed when there are too many. In a shutdown many
+   * connections end at once, and closing one over unread input might destroy its last response.
    */
   void onLingering(ClientConnection connection) {
     connections.remove(connection);
     lingering.add(connection);
-    if (lingering.size() > maxLingering) {
+    if (shutdown == null && lingering.size() > maxLingering) {
       lingering.iterator().next().close(CloseReason.EVICTED);
     }
     acceptNext();
@@ -253,7 +257,7 @@
     if (listener == null || accepting || !listener.isOpen()) {
       return;
     }
-    boolean hasSlot = connections.size() + movedAwayCount() < maxConnections || evict();
+    boolean hasSlot = occupiedSlots() < maxConnections || evict();
     rejectsNewConnections &= !hasSlot;
     if (accepting) {
       return; // the eviction has already started an accept
