Keep a wake-up of the rollout threads that comes while they do not wait

Cause: LeadershipLoop.wake and LeaseManager.wake notified a monitor and kept nothing, so a wake-up between a thread's last read and its wait was lost.

Change: WakeUpSignal keeps a signal until the next wait; WorkerThreads.pause takes one. Other waits were read: StateWatcher's pause is woken by nobody, TenantAdministration re-reads what was changed, a distributor looks again after it has parked a poll.

--- a/gateway/src/main/java/shelffront/rolloutcontrol/LeadershipLoop.java
+++ b/gateway/src/main/java/shelffront/rolloutcontrol/LeadershipLoop.java
@@ -43,6 +43,7 @@
   private final ErrorReporter errors;
   private final RolloutHistory history;
   private final EventLog log;
+  private final WakeUpSignal wakeUpSignal = new WakeUpSignal();
   private final Map<Subject, RolloutLeader> leaders = new HashMap<>();
   private long leaderKeyIndex;
   private long leaderKeySinceMicros;
@@ -71,9 +72,9 @@
     return isLeader;
   }
 
-  /** Makes the thread process its subjects now. */
-  synchronized void wake() {
-    notifyAll();
+  /** Makes the thread process its subjects now, or once more if it is processing them. */
+  void wake() {
+    wakeUpSignal.give();
   }
 
   @Override
@@ -92,9 +93,7 @@
       } catch (CoordinationException e) {
         errors.report(ERROR_SOURCE, e);
       }
-      synchronized (this) {
-        threads.pause(this, wakeAtMicros);
-      }
+      threads.pause(wakeUpSignal, wakeAtMicros);
     }
   }
 
--- a/gateway/src/main/java/shelffront/rolloutcontrol/LeaseManager.java
+++ b/gateway/src/main/java/shelffront/rolloutcontrol/LeaseManager.java
@@ -34,6 +34,7 @@
   private final ErrorReporter errors;
   private final RolloutHistory history;
   private final EventLog log;
+  private final WakeUpSignal wakeUpSignal = new WakeUpSignal();
   private final Map<Subject, LeaseHolder> holders = new HashMap<>();
 
   LeaseManager(
@@ -65,9 +66,7 @@
       for (Subject subject : subjects) {
         wakeAtMicros = process(subject, wakeAtMicros);
       }
-      synchronized (this) {
-        threads.pause(this, wakeAtMicros);
-      }
+      threads.pause(wakeUpSignal, wakeAtMicros);
     }
   }
 
@@ -180,9 +179,9 @@
     }
   }
 
-  /** Makes the thread process its subjects now. */
-  synchronized void wake() {
-    notifyAll();
+  /** Makes the thread process its subjects now, or once more if it is processing them. */
+  void wake() {
+    wakeUpSignal.give();
   }
 
   /** Replaces the holder and publishes its state; the caller holds the lock. */
--- a/gateway/src/main/java/shelffront/rolloutcontrol/StateWatcher.java
+++ b/gateway/src/main/java/shelffront/rolloutcontrol/StateWatcher.java
@@ -20,6 +20,9 @@
   private final WorkerThreads threads;
   private final ErrorReporter errors;
 
+  /** Never given: a pause after a failure lasts its whole time. */
+  private final WakeUpSignal noWakeUp = new WakeUpSignal();
+
   StateWatcher(
       List<LeaseManager> leaseManagers,
       LeadershipLoop leadership,
@@ -66,7 +69,7 @@
     return index;
   }
 
-  private synchronized void pauseAfterFailure() {
-    threads.pause(this, MonotonicClock.nowMicros() + timings.retryIntervalMicros());
+  private void pauseAfterFailure() {
+    threads.pause(noWakeUp, MonotonicClock.nowMicros() + timings.retryIntervalMicros());
   }
 }
--- a/gateway/src/main/java/shelffront/rolloutcontrol/WorkerThreads.java
+++ b/gateway/src/main/java/shelffront/rolloutcontrol/WorkerThreads.java
@@ -44,12 +44,12 @@
     return closed;
   }
 
-  /** Waits until the time or a notification of the monitor, which the caller must hold. */
-  void pause(Object monitor, long untilMicros) {
+  /** Waits until the time or a signal; returns at once if the signal was given before. */
+  void pause(WakeUpSignal signal, long untilMicros) {
     long leftMicros = untilMicros - MonotonicClock.nowMicros();
     try {
       if (!closed) {
-        monitor.wait(Math.max(MIN_PAUSE_MILLIS, leftMicros / MICROS_PER_MILLI));
+        signal.await(Math.max(MIN_PAUSE_MILLIS, leftMicros / MICROS_PER_MILLI));
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/gateway/src/test/java/shelffront/rolloutcontrol/RolloutCoordinatorTest.java
+++ b/gateway/src/test/java/shelffront/rolloutcontrol/RolloutCoordinatorTest.java
@@ -94,6 +94,31 @@
         "closing the coordinator removes its member");
   }
 
+  /**
+   * The target changes, and the watch reports it, after the leader has read the state and before it
+   * waits. Guards against a wake-up that is lost then: the advance waited for the leader's next
+   * renewal, a third of the lease.
+   */
+  @Test
+  void aTargetThatChangesBetweenTheLeadersReadAndItsWaitIsAdvancedAtOnce() throws Exception {
+    BlockingQueue<String> log = new LinkedBlockingQueue<>();
+    HeldLeaderStore store = new HeldLeaderStore();
+    try (RolloutCoordinator coordinator =
+        new RolloutCoordinator(
+            config(",\"leaseMs\":600000"),
+            store,
+            "1",
+            RolloutHistory.appendingTo(null),
+            line -> log.add(String.valueOf(line)))) {
+      coordinator.start();
+      awaitLine(log, "rollout s: stage one in force, epoch ");
+      store.awaitHeldLeader();
+      coordinator.requestStage("s", "two");
+      store.releaseLeaderAfterWatchHasReportedTheChange();
+      awaitLine(log, "rollout s: stage two in force, epoch ");
+    }
+  }
+
   @Test
   void aMalformedStateIsLoggedAndTheSubjectStaysInTheSafeStage() throws Exception {
     BlockingQueue<String> log = new LinkedBlockingQueue<>();
