--- a/gateway/src/main/java/shelffront/backend/QueryResponse.java
+++ b/gateway/src/main/java/shelffront/backend/QueryResponse.java
@@ -99,16 +99,7 @@
         value = message.singleColumnValue();
         keep(message, Stage.COMPLETION);
       }
-      case 'C' -> {
-        if (!message.readStrings(1)[0].matches("SHOW|[A-Z]+( [0-9]+)? 1")) {
-          throw new ProtocolException(
-              SqlState.PROTOCOL_VIOLATION,
-              "CommandComplete tag of "
-                  + (message.body().length - 1)
-                  + " bytes is not that of SHOW or of a command with exactly one row");
-        }
-        keep(message, Stage.READY);
-      }
+      case 'C' -> applyCompletion(message);
       case 'E' -> applyError(message);
       case 'I' -> {
         toEmptyQuery = true;
@@ -127,6 +118,17 @@
     }
   }
 
+  private void applyCompletion(Message message) throws ProtocolException {
+    if (!message.readStrings(1)[0].matches("SHOW|[A-Z]+( [0-9]+)? 1")) {
+      throw new ProtocolException(
+          SqlState.PROTOCOL_VIOLATION,
+          "CommandComplete tag of "
+              + (message.body().length - 1)
+              + " bytes is not that of SHOW or of a command with exactly one row");
+    }
+    keep(message, Stage.READY);
+  }
+
   private void applyError(Message message) throws ProtocolException {
     Map<Character, String> fields = message.errorFields();
     checksum.update(message.body());
