Let HeldLeaderStore extend the store in memory, and create coordinators in one place

Cause: the new test wrote a store's seven methods and the construction of a coordinator once more. Change: InMemoryCoordinationStore may be extended; RolloutCoordinatorTest has one method that makes a coordinator. Assertions are as before. Measured: the five tests of the class pass.

--- a/gateway/src/test/java/shelffront/coordination/InMemoryCoordinationStore.java
+++ b/gateway/src/test/java/shelffront/coordination/InMemoryCoordinationStore.java
@@ -4,7 +4,7 @@
 import java.util.TreeMap;
 
 /** A coordination store in memory. One lock makes every operation atomic. */
-public final class InMemoryCoordinationStore implements CoordinationStore {
+public class InMemoryCoordinationStore implements CoordinationStore {
 
   private final TreeMap<String, Value> values = new TreeMap<>();
   private long index = 1;
--- a/gateway/src/test/java/shelffront/rolloutcontrol/HeldLeaderStore.java
+++ b/gateway/src/test/java/shelffront/rolloutcontrol/HeldLeaderStore.java
@@ -2,24 +2,20 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import shelffront.coordination.CoordinationException;
-import shelffront.coordination.CoordinationStore;
 import shelffront.coordination.InMemoryCoordinationStore;
 
 /**
- * A coordination store that holds the leader's thread once, just after it has read a rollout state
- * and its members, until the watch has reported a change that came later.
+ * Holds the leader's thread once, just after it has read a rollout state and its members, until the
+ * watch has reported a change that came later.
  */
-final class HeldLeaderStore implements CoordinationStore {
+final class HeldLeaderStore extends InMemoryCoordinationStore {
 
   private static final int TIMEOUT_SECONDS = 20;
   private static final String LEADER_THREAD = "stages-owner";
   private static final String MEMBERS = "/members/";
 
-  private final InMemoryCoordinationStore store = new InMemoryCoordinationStore();
   private final CountDownLatch leaderHeld = new CountDownLatch(1);
   private final CountDownLatch changeReported = new CountDownLatch(1);
 
@@ -31,66 +27,32 @@
   }
 
   void releaseLeaderAfterWatchHasReportedTheChange() throws InterruptedException {
-    changeIndex = store.list("").index();
+    changeIndex = list("").index();
     assertTrue(
         changeReported.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), "the watch reported no change");
   }
 
   @Override
   public Listing list(String prefix) {
-    Listing listing = store.list(prefix);
+    Listing listing = super.list(prefix);
     boolean hasMember = prefix.contains(MEMBERS) && !listing.values().isEmpty();
     if (hasMember && Thread.currentThread().getName().equals(LEADER_THREAD)) {
       leaderHeld.countDown();
-      awaitReportedChange();
+      try {
+        changeReported.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
     }
     return listing;
   }
 
-  private void awaitReportedChange() {
-    try {
-      changeReported.await();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   /** A watch after the change begins once the watcher has woken the others because of it. */
   @Override
   public Listing watch(String prefix, long after) {
     if (after >= changeIndex) {
       changeReported.countDown();
     }
-    return store.watch(prefix, after);
-  }
-
-  @Override
-  public Value read(String key) throws CoordinationException {
-    return store.read(key);
-  }
-
-  @Override
-  public boolean checkAndSet(String key, long expectedIndex, String text) {
-    return store.checkAndSet(key, expectedIndex, text);
-  }
-
-  @Override
-  public void checkAndDelete(String key, long expectedIndex) {
-    store.checkAndDelete(key, expectedIndex);
-  }
-
-  @Override
-  public boolean transact(List<Write> writes) {
-    return store.transact(writes);
-  }
-
-  @Override
-  public List<Value> readAll(List<String> keys) {
-    return store.readAll(keys);
-  }
-
-  @Override
-  public void close() {
-    store.close();
+    return super.watch(prefix, after);
   }
 }
--- a/gateway/src/test/java/shelffront/rolloutcontrol/RolloutCoordinatorTest.java
+++ b/gateway/src/test/java/shelffront/rolloutcontrol/RolloutCoordinatorTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import shelffront.coordination.CoordinationException;
+import shelffront.coordination.CoordinationStore;
 import shelffront.coordination.InMemoryCoordinationStore;
 import shelffront.tenant.TenantSpecCodec.SpecException;
 
@@ -38,6 +39,16 @@
         "/fleet");
   }
 
+  private static RolloutCoordinator coordinator(
+      String moreSettings, CoordinationStore store, BlockingQueue<String> log) throws Exception {
+    return new RolloutCoordinator(
+        config(moreSettings),
+        store,
+        "1",
+        RolloutHistory.appendingTo(null),
+        line -> log.add(String.valueOf(line)));
+  }
+
   private static void awaitLine(BlockingQueue<String> log, String wanted)
       throws InterruptedException {
     List<String> seen = new ArrayList<>();
@@ -56,13 +67,7 @@
   void anOpenOperationBlocksTheAdvanceAfterTheNextUntilItIsClosed() throws Exception {
     BlockingQueue<String> log = new LinkedBlockingQueue<>();
     InMemoryCoordinationStore store = new InMemoryCoordinationStore();
-    try (RolloutCoordinator coordinator =
-        new RolloutCoordinator(
-            config(",\"leaseMs\":600000"),
-            store,
-            "1",
-            RolloutHistory.appendingTo(null),
-            line -> log.add(String.valueOf(line)))) {
+    try (RolloutCoordinator coordinator = coordinator(",\"leaseMs\":600000", store, log)) {
       assertNull(coordinator.stateInForce("s"), "safe stage before the gateway has joined");
       assertNull(coordinator.beginOperation("s"));
       coordinator.start();
@@ -103,13 +108,7 @@
   void aTargetThatChangesBetweenTheLeadersReadAndItsWaitIsAdvancedAtOnce() throws Exception {
     BlockingQueue<String> log = new LinkedBlockingQueue<>();
     HeldLeaderStore store = new HeldLeaderStore();
-    try (RolloutCoordinator coordinator =
-        new RolloutCoordinator(
-            config(",\"leaseMs\":600000"),
-            store,
-            "1",
-            RolloutHistory.appendingTo(null),
-            line -> log.add(String.valueOf(line)))) {
+    try (RolloutCoordinator coordinator = coordinator(",\"leaseMs\":600000", store, log)) {
       coordinator.start();
       awaitLine(log, "rollout s: stage one in force, epoch ");
       store.awaitHeldLeader();
@@ -125,13 +124,7 @@
     InMemoryCoordinationStore store = new InMemoryCoordinationStore();
     store.checkAndSet(
         "shelffront/f/standing/s", 0, "{\"epoch\":1,\"stage\":\"five\",\"target\":\"one\"}");
-    try (RolloutCoordinator coordinator =
-        new RolloutCoordinator(
-            config(""),
-            store,
-            "1",
-            RolloutHistory.appendingTo(null),
-            line -> log.add(String.valueOf(line)))) {
+    try (RolloutCoordinator coordinator = coordinator("", store, log)) {
       coordinator.start();
       awaitLine(log, "engine-garbled");
       assertNull(coordinator.stateInForce("s"));
