Let the log writer wait for lines instead of looking for them every 20 ms

Change: the writer takes lines from its queue; closing the log wakes it. Batches, bounds and counts of dropped lines are as before, and the writing is split into short methods.

AsyncEventLogTest passes.

--- a/gateway/src/main/java/shelffront/net/AsyncEventLog.java
+++ b/gateway/src/main/java/shelffront/net/AsyncEventLog.java
@@ -18,7 +18,8 @@
   /** A batch of this length is written even if more lines are queued. */
   private static final int MAX_WRITE_CHARS = 8192;
 
-  private static final long POLL_INTERVAL_MILLIS = 20;
+  /** Wakes the writer thread when the log is closed. Recognized by identity and not written. */
+  private static final String END = new String("end");
 
   private final ArrayBlockingQueue<String> queuedLines = new ArrayBlockingQueue<>(MAX_QUEUED_LINES);
   private final AtomicLong unreportedDrops = new AtomicLong();
@@ -48,40 +49,45 @@
   private void writeQueuedLines() {
     try {
       while (!closed || !queuedLines.isEmpty()) {
-        // Polls, because waking this thread for each line would cost time on the loop thread.
-        String line = queuedLines.poll();
-        if (line == null) {
-          Thread.sleep(POLL_INTERVAL_MILLIS);
-          continue;
-        }
-        StringBuilder batch = new StringBuilder(line).append('\n');
-        for (line = queuedLines.poll();
-            line != null && batch.length() < MAX_WRITE_CHARS;
-            line = queuedLines.poll()) {
-          batch.append(line).append('\n');
-        }
-        if (line != null) {
-          batch.append(line).append('\n');
-        }
-        long droppedCount = unreportedDrops.getAndSet(0);
-        if (droppedCount > 0) {
-          batch.append("log dropped ").append(droppedCount).append(" lines\n");
-        }
-        byte[] bytes = batch.toString().getBytes(UTF_8);
-        out.write(bytes, 0, bytes.length);
-        out.flush();
+        write(nextBatch(queuedLines.take()));
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
   }
 
+  /** Returns the line and those that are queued behind it, up to the limit of a batch. */
+  private String nextBatch(String first) {
+    StringBuilder batch = new StringBuilder();
+    for (String line = first; line != null; line = nextWithinBatch(batch)) {
+      if (line != END) {
+        batch.append(line).append('\n');
+      }
+    }
+    long droppedCount = unreportedDrops.getAndSet(0);
+    if (droppedCount > 0) {
+      batch.append("log dropped ").append(droppedCount).append(" lines\n");
+    }
+    return batch.toString();
+  }
+
+  private String nextWithinBatch(StringBuilder batch) {
+    return batch.length() < MAX_WRITE_CHARS ? queuedLines.poll() : null;
+  }
+
+  private void write(String batch) {
+    byte[] bytes = batch.getBytes(UTF_8);
+    out.write(bytes, 0, bytes.length);
+    out.flush();
+  }
+
   /**
    * Ends the writer thread after it has written the queued lines. Returns when the timeout expires,
    * even if a stalled reader has left lines unwritten.
    */
   public void close(long timeoutMillis) throws InterruptedException {
     closed = true;
+    queuedLines.offer(END); // a writer that waits has an empty queue, which has room
     writer.join(timeoutMillis);
   }
 }
