--- /dev/null
+++ b/review/common-2/src/review2/Target.java
@@ -0,0 +1,7 @@
+package review2;
+
+/** What clients connect to. */
+interface Target {
+
+  int port();
+}
