--- a/review/common-2/src/review2/Gateway.java
+++ b/review/common-2/src/review2/Gateway.java
@@ -97,7 +97,7 @@
   void signal(String signal) throws IOException {
     play.note(name, "is sent SIG" + signal);
     try {
-      new ProcessBuilder("/bin/kill", "-" + signal, Long.toString(process.pid()))
+      new ProcessBuilder("/bin/sh", "-c", "kill -" + signal + " " + process.pid())
           .inheritIO()
           .start()
           .waitFor();
