--- a/review/common-2/src/review2/Discovery.java
+++ b/review/common-2/src/review2/Discovery.java
@@ -22,11 +22,17 @@
 
   private static final long HEARTBEAT_MILLIS = 2000;
 
+  /** After a move, the old address closes its open connections this much later. */
+  private static final long OLD_ADDRESS_MILLIS = 1500;
+
   private final Play play;
-  private final ServerSocket listener;
+  private ServerSocket listener;
   private final Map<String, String> entries = new LinkedHashMap<>();
   private final TreeMap<Long, String> changes = new TreeMap<>();
-  private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+  /** Open connections of the present address, and of former ones until they are closed. */
+  private Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+
+  private final Set<Socket> formerSockets = ConcurrentHashMap.newKeySet();
   private long revision;
 
   /** Versions before this one get the whole list. */
@@ -39,13 +45,50 @@
     this.play = play;
     this.revision = revision;
     this.oldestKept = oldestKept;
-    listener = new ServerSocket(0, 64, Play.loopback());
-    Thread thread = new Thread(this::accept);
+    listen();
+  }
+
+  private void listen() throws IOException {
+    ServerSocket next = new ServerSocket(0, 64, Play.loopback());
+    Set<Socket> accepted = ConcurrentHashMap.newKeySet();
+    listener = next;
+    sockets = accepted;
+    start(() -> accept(next, accepted));
+  }
+
+  private static void start(Runnable task) {
+    Thread thread = new Thread(task);
     thread.setDaemon(true);
     thread.start();
   }
 
-  String address() {
+  /**
+   * Moves to another address. The old one accepts no new connection and closes the open ones after
+   * 1.5 s.
+   */
+  synchronized void move() throws IOException {
+    ServerSocket old = listener;
+    Set<Socket> open = sockets;
+    formerSockets.addAll(open);
+    listen();
+    old.close();
+    play.note("discovery", "moved to " + address());
+    start(
+        () -> {
+          Play.sleep(OLD_ADDRESS_MILLIS);
+          open.forEach(Discovery::closeQuietly);
+        });
+  }
+
+  private static void closeQuietly(Socket socket) {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      // It is closed in any case.
+    }
+  }
+
+  synchronized String address() {
     return "127.0.0.1:" + listener.getLocalPort();
   }
 
@@ -75,21 +118,19 @@
         + String.join(",", entries.values()) + "]}";
   }
 
-  private void accept() {
+  private void accept(ServerSocket from, Set<Socket> accepted) {
     try {
       while (true) {
-        Socket socket = listener.accept();
-        sockets.add(socket);
-        Thread thread = new Thread(() -> serve(socket));
-        thread.setDaemon(true);
-        thread.start();
+        Socket socket = from.accept();
+        accepted.add(socket);
+        start(() -> serve(socket, accepted));
       }
     } catch (IOException e) {
       // The listener was closed.
     }
   }
 
-  private void serve(Socket socket) {
+  private void serve(Socket socket, Set<Socket> accepted) {
     String name = "call " + socket.getPort();
     try (socket) {
       BufferedReader in =
@@ -109,7 +150,8 @@
     } catch (IOException e) {
       play.note("discovery", name + " ended: " + e.getMessage());
     } finally {
-      sockets.remove(socket);
+      accepted.remove(socket);
+      formerSockets.remove(socket);
     }
   }
 
@@ -164,8 +206,7 @@
   @Override
   public void close() throws IOException {
     listener.close();
-    for (Socket socket : sockets) {
-      socket.close();
-    }
+    sockets.forEach(Discovery::closeQuietly);
+    formerSockets.forEach(Discovery::closeQuietly);
   }
 }
--- a/review/common-2/src/review2/ReloadRow.java
+++ b/review/common-2/src/review2/ReloadRow.java
@@ -4,14 +4,14 @@
 import java.util.List;
 
 /**
- * New configurations in quick succession while discovery is slow. The address of discovery stays the
- * same in all of them. A replica begins to drain between the first two.
+ * New configurations in quick succession while discovery is slow; each names another address of
+ * discovery. A replica begins to drain between the first two.
  */
 final class ReloadRow {
 
   private static final double CALL_WAITS_MILLIS = 1800;
   private static final double INTERVAL_MILLIS = 1500;
-  private static final int CONFIGURATIONS = 8;
+  private static final int CONFIGURATIONS = 7;
   private static final double GRACE_MILLIS = 2000 + 50;
 
   private ReloadRow() {}
@@ -48,7 +48,8 @@
     for (int i = 0; i < CONFIGURATIONS; i++) {
       play.sleepUntil(begin + i * INTERVAL_MILLIS);
       if (play.trouble) {
-        gateway.configure(discovery.address(), known, Lagos.settings(5 + i));
+        discovery.move();
+        gateway.configure(discovery.address(), known, Lagos.settings(4));
         gateway.signal("HUP");
       }
       if (i == 0) {
@@ -68,7 +69,9 @@
     for (Host host : hosts) {
       play.note(host.id, host.attempts().size() + " attempts");
     }
-    play.note("draining", String.format("last attempt %.2f s after its drain", (last - drainedAt) / 1000));
+    play.note("s-3",
+        String.format("last attempt %.2f s after discovery had its drain",
+            (last - drainedAt) / 1000));
     return late == 0
         ? null
         : String.format(
--- a/review/common-2/src/review2/RemovedInFlight.java
+++ b/review/common-2/src/review2/RemovedInFlight.java
@@ -1,22 +1,28 @@
 package review2;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 
-/** A tenant is removed while a client has three hundred requests in flight, sent one behind the other. */
+/**
+ * A tenant is removed while each of its five clients has twenty requests in flight, of which the
+ * first takes longer than the grace that the tenant's document sets for a removal.
+ */
 final class RemovedInFlight {
 
-  private static final int REQUESTS = 300;
+  private static final int CLIENTS = 5;
+  private static final int REQUESTS = 20;
 
   /** The time that the class allows; it is enough for all of them. */
   private static final int CLIENT_WAITS_MILLIS = 2000;
 
-  private static final double FIRST_WORK_MILLIS = 250;
-  private static final double WORK_MILLIS = 1;
+  private static final double FIRST_WORK_MILLIS = 600;
+  private static final int GRACE_MILLIS = 200;
+  private static final double WORK_MILLIS = 5;
 
   private RemovedInFlight() {}
 
@@ -25,58 +31,81 @@
   }
 
   private static String run(Play play) throws Exception {
-    String firstId = Client.newId();
+    Set<String> firstIds = Collections.synchronizedSet(new HashSet<>());
     List<Host> hosts = new ArrayList<>();
-    for (int i = 0; i < 3; i++) {
+    for (int i = 0; i < 5; i++) {
       hosts.add(
           play.add(
               new Host(play, "s-" + i, i == 0, (host, attempt, statement, out) -> {
-                boolean isFirst = attempt.id().equals(firstId);
+                boolean isFirst = firstIds.contains(attempt.id());
                 Play.sleep(isFirst ? FIRST_WORK_MILLIS : WORK_MILLIS);
                 out.write(host.served(statement, new byte[] {1, 2, 3}));
               })));
     }
     Hosted gateway = play.add(new Hosted(play));
-    gateway.start(Tenants.document("airport", Tenants.list(hosts)));
+    gateway.start(Tenants.document("airport", Tenants.list(hosts), GRACE_MILLIS));
     Client first = play.add(new Client(play, gateway, "airport"));
     if (!first.call(read(Client.newId())).kind().equals("served")) {
       throw new Play.CannotRun("the tenant does not serve before its removal");
     }
+    first.close();
 
-    Client client = play.add(new Client(play, gateway, "airport"));
-    byte[][] commands = new byte[REQUESTS][];
-    List<String> ids = new ArrayList<>();
-    for (int i = 0; i < REQUESTS; i++) {
-      ids.add(i == 0 ? firstId : Client.newId());
-      commands[i] = Pg.query(read(ids.get(i)));
+    List<Client> clients = new ArrayList<>();
+    for (int i = 0; i < CLIENTS; i++) {
+      clients.add(play.add(new Client(play, gateway, "airport")));
     }
-    byte[] all = Host.join(commands);
-    client.out.write(all);
-    play.note("client", "has sent " + REQUESTS + " requests, " + all.length + " bytes in all");
-    Play.sleep(100);
+    Map<String, Integer> answers = Collections.synchronizedMap(new TreeMap<>());
+    List<String> unanswered = Collections.synchronizedList(new ArrayList<>());
+    List<Thread> readers = new ArrayList<>();
+    for (Client client : clients) {
+      List<String> ids = new ArrayList<>();
+      byte[][] commands = new byte[REQUESTS][];
+      for (int i = 0; i < REQUESTS; i++) {
+        ids.add(Client.newId());
+        commands[i] = Pg.query(read(ids.get(i)));
+      }
+      firstIds.add(ids.get(0));
+      client.out.write(Host.join(commands));
+      Thread reader = new Thread(() -> readAnswers(play, client, ids, answers, unanswered));
+      reader.start();
+      readers.add(reader);
+    }
+    play.note("clients", CLIENTS + " clients have sent " + REQUESTS + " requests each");
+    Play.sleep(50);
     if (play.trouble) {
       gateway.remove("airport");
     }
-    Map<String, Integer> answers = new TreeMap<>();
+    for (Thread reader : readers) {
+      reader.join();
+    }
+    Set<String> ran = new HashSet<>();
+    hosts.forEach(host -> host.attempts().forEach(attempt -> ran.add(attempt.id())));
+    play.note("case", answers + "; " + unanswered.size() + " of " + CLIENTS * REQUESTS
+        + " got no answer, " + unanswered.stream().filter(ran::contains).count()
+        + " of these had reached a box");
+    return unanswered.isEmpty()
+        ? null
+        : unanswered.size() + " of " + CLIENTS * REQUESTS + " requests in flight got no answer";
+  }
+
+  private static void readAnswers(
+      Play play,
+      Client client,
+      List<String> ids,
+      Map<String, Integer> answers,
+      List<String> unanswered) {
     int answered = 0;
-    while (answered < REQUESTS) {
+    while (answered < ids.size()) {
       Client.Answer answer = client.answer();
-      if (!answer.kind().equals("served")) {
-        play.note("client", ids.get(answered) + ": " + answer);
-      }
       if (Set.of("ended", "reset", "nothing").contains(answer.kind())) {
-        break;
+        play.note("client", answered + " of " + ids.size() + " answered, then " + answer);
+        unanswered.addAll(ids.subList(answered, ids.size()));
+        return;
       }
-      answers.merge(answer.kind() + " " + answer.code(), 1, Integer::sum);
+      answers.merge((answer.kind() + " " + answer.code()).strip(), 1, Integer::sum);
       answered++;
     }
-    Set<String> ran = new HashSet<>();
-    hosts.forEach(host -> host.attempts().forEach(attempt -> ran.add(attempt.id())));
-    play.note("case", answers + ", " + answered + " of " + REQUESTS + " answered; "
-        + ids.stream().filter(ran::contains).count() + " of them reached a box");
-    return answered == REQUESTS
-        ? null
-        : REQUESTS - answered + " of " + REQUESTS + " requests in flight got no answer";
+    play.note("client", "all " + ids.size() + " answered");
   }
 
   private static String read(String id) {
--- a/review/common-2/src/review2/Tenants.java
+++ b/review/common-2/src/review2/Tenants.java
@@ -19,7 +19,12 @@
   }
 
   static String document(String tenant, String boxes) {
-    return "{\"id\":\"" + tenant + "\",\"classes\":["
+    return document(tenant, boxes, 5000);
+  }
+
+  /** A document with this grace for a removal. */
+  static String document(String tenant, String boxes, int graceMillis) {
+    return "{\"id\":\"" + tenant + "\",\"graceMs\":" + graceMillis + ",\"classes\":["
         + "{\"name\":\"map-read\",\"aimMs\":400,\"giveUpMs\":1200,\"read\":\"bounded\","
         + "\"boundMs\":500},"
         + "{\"name\":\"own-edit-read\",\"aimMs\":500,\"giveUpMs\":2000,\"read\":\"session\"},"
