--- a/review/common-2/src/review2/Host.java
+++ b/review/common-2/src/review2/Host.java
@@ -31,21 +31,34 @@
   final boolean primary;
   private final ServerSocket listener;
   private final Answerer answerer;
+
+  /** The host that now has the address at which this one was started. */
+  private volatile Host owner;
+
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private final List<Attempt> attempts = new ArrayList<>();
 
   Host(Play play, String id, boolean primary, Answerer answerer) throws IOException {
-    this(play, id, primary, 0, answerer);
+    this(play, id, primary, new ServerSocket(0, 256, Play.loopback()), answerer);
+    start(this::accept);
   }
 
-  /** A host at a given port; any free one if it is 0. */
-  Host(Play play, String id, boolean primary, int port, Answerer answerer) throws IOException {
+  private Host(
+      Play play, String id, boolean primary, ServerSocket listener, Answerer answerer) {
     this.play = play;
+    this.listener = listener;
     this.id = id;
     this.primary = primary;
     this.answerer = answerer;
-    listener = new ServerSocket(port, 256, Play.loopback());
-    start(this::accept);
+    owner = this;
+  }
+
+  /** Gives the address of this host to another one. The connections of this host end. */
+  Host giveAddressTo(String otherId) {
+    Host other = new Host(play, otherId, primary, listener, answerer);
+    owner = other;
+    sockets.forEach(Host::closeQuietly);
+    return other;
   }
 
   /** An answerer whose work takes this long, with a short value. */
@@ -81,8 +94,9 @@
     try {
       while (true) {
         Socket socket = listener.accept();
-        sockets.add(socket);
-        start(() -> serve(socket));
+        Host present = owner;
+        present.sockets.add(socket);
+        start(() -> present.serve(socket));
       }
     } catch (IOException e) {
       // The listener was closed.
@@ -173,11 +187,17 @@
     return "";
   }
 
+  private static void closeQuietly(Socket socket) {
+    try {
+      socket.close();
+    } catch (IOException e) {
+      // It is closed in any case.
+    }
+  }
+
   @Override
   public void close() throws IOException {
     listener.close();
-    for (Socket socket : sockets) {
-      socket.close();
-    }
+    sockets.forEach(Host::closeQuietly);
   }
 }
--- a/review/common-2/src/review2/Play.java
+++ b/review/common-2/src/review2/Play.java
@@ -3,12 +3,14 @@
 import java.io.BufferedWriter;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
 
 /**
@@ -32,6 +34,8 @@
   }
 
   private static final long MAX_SECONDS = 110;
+  private static final int FIRST_PORT = 18_000;
+  private static final int LAST_PORT = 30_000;
 
   final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
   final Path root = Path.of(System.getProperty("review2.root")).toAbsolutePath();
@@ -122,10 +126,17 @@
     return InetAddress.getByName("127.0.0.1");
   }
 
+  /** A free port below those that systems give to outgoing connections. */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, loopback())) {
-      return socket.getLocalPort();
+    for (int attempt = 0; attempt < 1000; attempt++) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      try (ServerSocket socket = new ServerSocket(port, 1, loopback())) {
+        return socket.getLocalPort();
+      } catch (BindException e) {
+        continue;
+      }
     }
+    throw new IOException("no free port from " + FIRST_PORT + " to " + LAST_PORT);
   }
 
   @Override
--- a/review/common-2/src/review2/SleepingTenant.java
+++ b/review/common-2/src/review2/SleepingTenant.java
@@ -24,7 +24,7 @@
   private static String run(Play play) throws Exception {
     List<Host> before = new ArrayList<>();
     for (int i = 0; i < BOXES; i++) {
-      before.add(new Host(play, "airport-" + i, i == 0, Host.working(10)));
+      before.add(play.add(new Host(play, "airport-" + i, i == 0, Host.working(10))));
     }
     Hosted gateway = play.add(new Hosted(play));
     gateway.start(document("airport", before));
@@ -50,9 +50,8 @@
     List<Host> harbour = new ArrayList<>();
     for (int i = 0; i < BOXES; i++) {
       int port = before.get(i).port();
-      before.get(i).close();
       airport.add(play.add(new Host(play, "airport-" + i, i == 0, Host.working(10))));
-      harbour.add(play.add(new Host(play, "harbour-" + i, i == 0, port, Host.working(10))));
+      harbour.add(play.add(before.get(i).giveAddressTo("harbour-" + i)));
       play.note("platform", "airport-" + i + " moved from port " + port + " to "
           + airport.get(i).port() + "; harbour-" + i + " took port " + port);
     }
