Keep a discovery watch open until a newer one has delivered a line

Cause: DiscoveryClient.changeAddress closed the open watch before the new one was answered, so each reload gave up the call of the one before. The record shows each call ended by the gateway 0.3 s before its answer; the log closes them as replaced. The former address would have answered: it leaves open calls 1.5 s. Ruled out: a retry delay (none begins in the row) and the check for older lists (no list came).

Change: core/membership/WatchSuccession decides, without I/O, which watches stay: all until a later one has delivered a line, six at most, and beyond that the one that its address closes first goes, never the oldest or the newest. A watch that failed is opened again without closing former ones.

Cost: nothing on the path of a request; up to six descriptors in a row of reloads.

--- a/gateway/src/main/java/shelffront/discovery/DiscoveryCall.java
+++ b/gateway/src/main/java/shelffront/discovery/DiscoveryCall.java
@@ -137,6 +137,9 @@
         openBraces = 0;
         onListText(listText);
       }
+      if (!isClosed()) {
+        discovery.onWatchLine(this);
+      }
     }
   }
 
--- a/gateway/src/main/java/shelffront/discovery/DiscoveryClient.java
+++ b/gateway/src/main/java/shelffront/discovery/DiscoveryClient.java
@@ -2,18 +2,21 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import shelffront.config.EndpointList;
+import shelffront.membership.WatchSuccession;
 import shelffront.net.CloseReason;
 import shelffront.net.Counters;
 import shelffront.net.Network;
 
 /**
- * Obtains the endpoint list from the discovery service, through one watch and fetches of the whole
- * list.
+ * Obtains the endpoint list from the discovery service, through watches and fetches of the whole
+ * list. Usually one watch is open; {@link WatchSuccession} decides how long it stays when another
+ * is opened.
  *
- * <p>Invariants: at most one watch is open; a list older than the newest one is ignored within
- * {@link #STALE_LIST_WINDOW_MICROS} after it. Retries are left to the listener. Runs on the loop
- * thread.
+ * <p>Invariants: lists of every open watch are forwarded, but one older than the newest list is
+ * ignored within {@link #STALE_LIST_WINDOW_MICROS} after it. Retries are left to the listener. Runs
+ * on the loop thread.
  */
 public final class DiscoveryClient {
 
@@ -57,7 +60,7 @@
   /** Whether a watch is wanted; the watch itself may have failed. */
   private boolean watchWanted;
 
-  private DiscoveryCall watch;
+  private final WatchSuccession<DiscoveryCall> watches = new WatchSuccession<>();
 
   /** Creates a client that knows the list of this revision; 0 requests the whole list. */
   public DiscoveryClient(
@@ -68,12 +71,18 @@
     this.listener = listener;
   }
 
-  /** Closes the current watch, then opens a new one if {@code on} is true. */
+  /** Opens a watch, which replaces the open ones once it has delivered, or closes all of them. */
   public void watch(boolean on) {
     watchWanted = on;
-    close(CloseReason.REPLACED);
-    if (on) {
-      watch = startCall("/catalog/members?watch=1&from=" + revision, true);
+    if (!on) {
+      close(CloseReason.REPLACED);
+      return;
+    }
+    DiscoveryCall watch = startCall("/catalog/members?watch=1&from=" + revision, true);
+    if (watch != null) {
+      watches
+          .add(watch, network.loop().nowMicros())
+          .ifPresent(evicted -> evicted.endOnceProcessed(CloseReason.REPLACED));
     }
   }
 
@@ -87,9 +96,10 @@
   }
 
   /**
-   * Changes the address of the discovery service. If a watch is wanted, it is reopened at the new
+   * Changes the address of the discovery service. If a watch is wanted, one is opened at the new
    * address immediately: the old address may close late, and the time limit for receiving a change
-   * also covers changes that the old address no longer reports.
+   * also covers changes that the old address no longer reports. The watch at the old address stays
+   * until then, because the new one may itself be replaced before it is answered.
    */
   public void changeAddress(InetSocketAddress newAddress) {
     address = newAddress;
@@ -98,9 +108,9 @@
     }
   }
 
-  /** Whether a watch is open or being opened. */
+  /** Whether the watch that was started last is open or being opened. */
   public boolean isOpen() {
-    return watch != null;
+    return watches.isNewestOpen();
   }
 
   /** Fetches the whole list once, on a separate connection. */
@@ -108,13 +118,18 @@
     startCall("/catalog/members", false);
   }
 
-  /** Closes the watch without reporting a failure; fetches continue. */
+  /** Closes the watches without reporting a failure; fetches continue. */
   public void close(CloseReason reason) {
-    DiscoveryCall oldWatch = watch;
-    watch = null;
-    if (oldWatch != null) {
-      oldWatch.endOnceProcessed(reason);
-    }
+    endAll(watches.removeAll(), reason);
+  }
+
+  private static void endAll(Collection<DiscoveryCall> ended, CloseReason reason) {
+    ended.forEach(watch -> watch.endOnceProcessed(reason));
+  }
+
+  /** Ends the older watches, which the line of a watch has made superfluous. */
+  void onWatchLine(DiscoveryCall watch) {
+    endAll(watches.onDelivered(watch), CloseReason.REPLACED);
   }
 
   private DiscoveryCall startCall(String path, boolean isWatch) {
@@ -163,12 +178,10 @@
     listener.onEndpoints(list);
   }
 
-  /** Reports the end of the current watch as a failure, that of a fetch only if it got no list. */
+  /** Reports the end of the newest watch as a failure, that of a fetch only if it got no list. */
   void onCallClosed(DiscoveryCall call, boolean isWatch, boolean listReceived) {
-    if (call == watch) {
-      watch = null;
-      reportFailure();
-    } else if (!isWatch && !listReceived) {
+    boolean failed = isWatch ? watches.remove(call) : !listReceived;
+    if (failed) {
       reportFailure();
     }
   }
