Move the reading of commands out of ClientConnection into CommandReader

Change: CommandReader owns the queue of commands, the error that stopped the parsing and the memory reserved for commands and response. No behaviour changes, except that commands read just before unreadable input no longer count as sent; that connection ends.

--- a/gateway/src/main/java/shelffront/frontend/ClientConnection.java
+++ b/gateway/src/main/java/shelffront/frontend/ClientConnection.java
@@ -8,6 +8,7 @@
 import shelffront.net.Connection;
 import shelffront.net.Counters;
 import shelffront.net.EventLoop.Deadline;
+import shelffront.net.ResourceBudget;
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
 import shelffront.pg.SqlState;
@@ -17,16 +18,12 @@
  * A client's connection: reads commands, processes one at a time, and responds in order.
  *
  * <p>Invariants: a command is started only when no request is in progress and all output has been
- * written, so output stays bounded; queued and active commands are charged to the memory budget; a
- * request that was started gets exactly one response unless the client disconnects. Runs on the
- * loop thread of the connection.
+ * written, so output stays bounded; a request that was started gets exactly one response unless the
+ * client disconnects. Runs on the loop thread of the connection.
  */
 final class ClientConnection extends Connection
     implements ClientRequest.ResponseListener, ClientHandle {
 
-  /** Message types that a client may send after startup. */
-  private static final String COMMAND_TYPES = "QXSPBDECHFdcf";
-
   /** Delay before a timeout that found the connection busy checks again. */
   private static final long TIMEOUT_RECHECK_MICROS = 20_000;
 
@@ -36,7 +33,7 @@
   private final FrontendConnections acceptedBy;
 
   private final StartupHandshake handshake = new StartupHandshake(this);
-  private final CommandQueue queuedCommands = new CommandQueue();
+  private final CommandReader commands = new CommandReader(this);
   private final ClientActivity activity;
 
   /** Target of a move in progress; set by {@link #moveTo}. */
@@ -48,14 +45,8 @@
   /** After an extended-protocol error, all messages up to the next Sync are skipped. */
   private boolean skippingToSync;
 
-  /** The error that stopped the parsing of input; null while input is parsed. */
-  private String inputFailure;
-
   private ClientRequest current;
 
-  /** Bytes of queued commands and of the unwritten response, charged to the memory budget. */
-  private int reservedBytes;
-
   /** Bounds the wait for the next complete command; cancelled while a request is in progress. */
   private Deadline commandDeadline;
 
@@ -87,7 +78,7 @@
   /** Whether no request is in progress or queued and all output has been written. */
   @Override
   public boolean isIdle() {
-    return current == null && queuedCommands.isEmpty() && isOutputEmpty();
+    return current == null && commands.isEmpty() && isOutputEmpty();
   }
 
   /** Whether the client has sent no complete command within the usual time after connecting. */
@@ -137,7 +128,7 @@
 
   @Override
   public void endWithError(ProtocolException why, CloseReason reason) {
-    if (inputFailure == null && !isClosed()) {
+    if (!commands.hasFailed() && !isClosed()) {
       failInput(why, reason);
       processCommands();
     }
@@ -145,7 +136,7 @@
 
   @Override
   protected boolean discardsInput() {
-    return inputFailure != null;
+    return commands.hasFailed();
   }
 
   @Override
@@ -155,7 +146,7 @@
 
   @Override
   protected boolean wantsInput() {
-    return inputFailure == null && !handshake.isLookingUpTenant() && !queuedCommands.isFull();
+    return !handshake.isLookingUpTenant() && commands.wantsInput();
   }
 
   @Override
@@ -165,7 +156,9 @@
       while (!handshake.isComplete() && handshake.advance(bytes)) {
         continue;
       }
-      readCommands(bytes);
+      if (handshake.isComplete() && commands.read(bytes)) {
+        activity.recordCommand();
+      }
     } catch (ProtocolException e) {
       failInput(e, ClientErrors.closeReasonOf(e.sqlState()));
     }
@@ -176,30 +169,17 @@
     processCommands();
   }
 
-  private void readCommands(ByteBuffer bytes) throws ProtocolException {
-    while (handshake.isComplete() && wantsInput()) {
-      Message message = Message.readNext(bytes, COMMAND_TYPES, Message.MAX_BYTES);
-      if (message == null) {
-        return;
-      }
-      // Protects the heap: queued commands count against the budget like active ones.
-      if (!tryReserve(message.body().length)) {
-        throw new ProtocolException(SqlState.OUT_OF_MEMORY, "there is no room for the command");
-      }
-      queuedCommands.add(message, arrivalMicrosOfConsumed(bytes));
-      activity.recordCommand();
-    }
+  /** When the last byte consumed from the input was read from the socket. */
+  long arrivalMicros(ByteBuffer bytes) {
+    return arrivalMicrosOfConsumed(bytes);
   }
 
-  private boolean tryReserve(int bytes) {
-    boolean acquired = network.budget().tryAcquire(bytes);
-    reservedBytes += acquired ? bytes : 0;
-    return acquired;
+  ResourceBudget budget() {
+    return network.budget();
   }
 
   private void failInput(ProtocolException why, CloseReason reason) {
-    inputFailure = why.getMessage();
-    queuedCommands.addFailure(why, reason, nowMicros());
+    commands.fail(why, reason, nowMicros());
   }
 
   @Override
@@ -263,8 +243,8 @@
    * command is started once the client has closed its side, even if a write is outstanding.
    */
   private void processCommands() {
-    while (!isEnding() && current == null && isOutputEmpty() && !queuedCommands.isEmpty()) {
-      Command command = queuedCommands.poll();
+    while (!isEnding() && current == null && isOutputEmpty() && !commands.isEmpty()) {
+      Command command = commands.poll();
       try {
         process(command);
       } catch (ProtocolException e) {
@@ -328,7 +308,7 @@
 
   @Override
   public void onServed(byte[] messages) {
-    if (!tryReserve(messages.length)) {
+    if (!commands.tryReserve(messages.length)) {
       onFailed(); // The memory budget has no room for the value until the client reads it.
       return;
     }
@@ -365,8 +345,7 @@
 
   @Override
   protected void onOutputWritten() {
-    network.budget().release(reservedBytes - queuedCommands.bytes());
-    reservedBytes = queuedCommands.bytes();
+    commands.releaseProcessed();
     processCommands();
     frontend.onMaybeIdle(this);
   }
@@ -374,7 +353,7 @@
   @Override
   protected void onClosed(CloseReason reason) {
     commandDeadline.cancel();
-    network.budget().release(reservedBytes);
+    commands.releaseAll();
     if (current != null) {
       network.counters().add(Counters.Name.REQUESTS_LEFT);
       handler.onRequestAbandoned(current);
@@ -390,8 +369,8 @@
 
   @Override
   protected String describe() {
-    if (inputFailure != null) {
-      return "(" + inputFailure + ")";
+    if (commands.hasFailed()) {
+      return "(" + commands.failure() + ")";
     }
     return current == null ? "-" : "request=" + current.id;
   }
