Answer every request that was read before a removed tenant's connection ends

Cause: Tenant.checkDrained queued a fatal error behind the parsed commands, at most eight. ClientConnection then counted as one with unreadable input, so ConnectionReader.hasRoomToReadAhead discarded what was read behind them. Ruled out: the grace period (with 0 ms the same) and the host (none of the lost requests had reached one).

Change: the tenant requests an end (RequestedEnd). The connection goes on reading and handling requests, which a tenant that is being removed rejects at once, and ends when it is idle, by the condition that eviction and idle limit use. A client that never pauses is read until 1 s after the grace period. Tenant.hasNoOpenRequests, used in one place, went into that place.

Why it holds for every timing: nothing that was read is discarded any more on this path; the end is possible only once all of it is answered.

No cost outside a removal.

--- a/gateway/src/main/java/shelffront/frontend/ClientConnection.java
+++ b/gateway/src/main/java/shelffront/frontend/ClientConnection.java
@@ -45,6 +45,9 @@
   /** After an extended-protocol error, all messages up to the next Sync are skipped. */
   private boolean skippingToSync;
 
+  /** An end that the tenant has requested; null without one. */
+  private RequestedEnd requestedEnd;
+
   private ClientRequest current;
 
   /** Bounds the wait for the next complete command; cancelled while a request is in progress. */
@@ -55,10 +58,6 @@
     this.frontend = frontend;
     acceptedBy = frontend;
     activity = new ClientActivity(nowMicros());
-    scheduleFirstCommandTimeout();
-  }
-
-  private void scheduleFirstCommandTimeout() {
     scheduleTimeout(activity.firstCommandDeadlineMicros(), CloseReason.STARTUP_TIMEOUT);
   }
 
@@ -76,8 +75,7 @@
   }
 
   /** Whether no request is in progress or queued and all output has been written. */
-  @Override
-  public boolean isIdle() {
+  private boolean isIdle() {
     return current == null && commands.isEmpty() && isOutputEmpty();
   }
 
@@ -127,7 +125,28 @@
   }
 
   @Override
-  public void endWithError(ProtocolException why, CloseReason reason) {
+  public void endWhenAnswered(ProtocolException why, CloseReason reason, long readUntilMicros) {
+    if (requestedEnd == null) {
+      requestedEnd = new RequestedEnd(this, why, reason, readUntilMicros);
+      requestedEnd.check();
+    }
+  }
+
+  /** Ends the connection with an error if nothing is outstanding; true if it is ending. */
+  boolean endIfIdle(ProtocolException why, CloseReason reason) {
+    if (isEvictable()) {
+      write(ClientErrors.fatal(why));
+      closeWhenWritten(reason);
+    }
+    return isEnding();
+  }
+
+  Deadline scheduleAfter(long delayMicros, Runnable task) {
+    return network.loop().scheduleAt(nowMicros() + delayMicros, task);
+  }
+
+  /** Ends a connection that was not admitted; its input is discarded. */
+  void rejectConnection(ProtocolException why, CloseReason reason) {
     if (!commands.hasFailed() && !isClosed()) {
       failInput(why, reason);
       processCommands();
@@ -141,7 +160,8 @@
 
   @Override
   protected boolean mayStartRead() {
-    return frontend.readsRequests();
+    return frontend.readsRequests()
+        && (requestedEnd == null || requestedEnd.mayStartRead(nowMicros()));
   }
 
   @Override
@@ -218,7 +238,7 @@
   private void resumeOnNewLoop() {
     frontend = destination;
     frontend.onArrived(this);
-    scheduleFirstCommandTimeout();
+    scheduleTimeout(activity.firstCommandDeadlineMicros(), CloseReason.STARTUP_TIMEOUT);
     resumeAfterMove();
   }
 
@@ -354,6 +374,9 @@
   protected void onClosed(CloseReason reason) {
     commandDeadline.cancel();
     commands.releaseAll();
+    if (requestedEnd != null) {
+      requestedEnd.cancel();
+    }
     if (current != null) {
       network.counters().add(Counters.Name.REQUESTS_LEFT);
       handler.onRequestAbandoned(current);
--- a/gateway/src/main/java/shelffront/frontend/ClientHandle.java
+++ b/gateway/src/main/java/shelffront/frontend/ClientHandle.java
@@ -6,9 +6,10 @@
 /** A client's connection as its tenant sees it. Called on the connection's event loop. */
 public interface ClientHandle {
 
-  /** Whether no request is in progress or queued and all output has been written. */
-  boolean isIdle();
-
-  /** Closes the connection with an error, after the response to the request in progress. */
-  void endWithError(ProtocolException why, CloseReason reason);
+  /**
+   * Ends the connection with an error once every request that it has sent has its response.
+   * Requests are still read and handled until it is idle, but nothing is read from the given time
+   * on, so that a client that sends without pause is disconnected too.
+   */
+  void endWhenAnswered(ProtocolException why, CloseReason reason, long readUntilMicros);
 }
--- a/gateway/src/main/java/shelffront/frontend/FrontendConnections.java
+++ b/gateway/src/main/java/shelffront/frontend/FrontendConnections.java
@@ -117,7 +117,7 @@
     connections.add(connection);
     connection.start();
     if (occupiedSlots() > maxConnections && !evict()) {
-      connection.endWithError(
+      connection.rejectConnection(
           new ProtocolException(SqlState.TOO_MANY_CONNECTIONS, "too many connections"),
           CloseReason.NO_PLACE);
     }
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -35,6 +35,12 @@
   /** Time without clients after which a tenant of a shared gateway is suspended. */
   private static final long SUSPENSION_DELAY_MICROS = 30_000_000;
 
+  /**
+   * Time after the grace period in which requests are still read, to be rejected, on connections
+   * that never become idle.
+   */
+  private static final long READ_AFTER_GRACE_MICROS = 1_000_000;
+
   /** Retry-After of requests that a shutdown ends; other gateways serve them at once. */
   private static final long SHUTDOWN_RETRY_AFTER_MICROS = 200_000;
 
@@ -81,11 +87,6 @@
     return context.spec();
   }
 
-  /** Whether no admitted request is waiting for its response or has an outstanding attempt. */
-  public boolean hasNoOpenRequests() {
-    return requests.isEmpty();
-  }
-
   boolean hasNoClients() {
     return clients.isEmpty();
   }
@@ -222,7 +223,7 @@
    * Continues a drain of the gateway: ends the requests that are still open at the end of the
    * schedule.
    *
-   * @return whether no request is open
+   * @return whether no request waits for its response or has an outstanding attempt
    */
   public boolean drain(ShutdownSchedule schedule) {
     if (context.nowMicros() >= schedule.answerByMicros()) {
@@ -230,7 +231,7 @@
           context.spec().settings().limits().retryAfterMicros(SHUTDOWN_RETRY_AFTER_MICROS);
       abortOpenRequests(client -> client.onRejected(retryAfterMicros));
     }
-    return hasNoOpenRequests();
+    return requests.isEmpty();
   }
 
   // ---- Removal
@@ -238,6 +239,7 @@
   /**
    * Removes the tenant from service. New requests are rejected at once. Admitted requests may
    * finish within the grace period; those left after it are ended, and all resources are released.
+   * Each client's connection ends once every request that was read on it has its response.
    */
   public void remove(long graceMicros, Runnable onRemoved) {
     if (context.state().isEnding()) {
@@ -253,17 +255,17 @@
     if (suspension != null) {
       suspension.cancel();
     }
-    List.copyOf(clients).forEach(this::endIfIdle);
     long untilMicros = context.nowMicros() + graceMicros;
+    List.copyOf(clients)
+        .forEach(
+            client ->
+                client.endWhenAnswered(
+                    removalError(),
+                    CloseReason.TENANT_GONE,
+                    untilMicros + READ_AFTER_GRACE_MICROS));
     context.loop().scheduleAt(context.nowMicros(), () -> checkDrained(untilMicros));
   }
 
-  private void endIfIdle(ClientHandle client) {
-    if (client.isIdle()) {
-      client.endWithError(removalError(), CloseReason.TENANT_GONE);
-    }
-  }
-
   private void checkDrained(long untilMicros) {
     long nowMicros = context.nowMicros();
     if (!requests.areAllCompleted() && nowMicros < untilMicros) {
@@ -273,8 +275,6 @@
     }
     context.setState(TenantState.REMOVED);
     abortOpenRequests(ClientRequest.ResponseListener::onUnavailable);
-    List.copyOf(clients)
-        .forEach(client -> client.endWithError(removalError(), CloseReason.TENANT_GONE));
     close(CloseReason.TENANT_GONE);
     requests.clear();
     completeRemoval();
--- a/gateway/src/test/java/shelffront/tenant/TenantSuspensionTest.java
+++ b/gateway/src/test/java/shelffront/tenant/TenantSuspensionTest.java
@@ -13,7 +13,6 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import shelffront.frontend.ClientHandle;
-import shelffront.net.CloseReason;
 import shelffront.net.Counters;
 import shelffront.net.EventLoop;
 import shelffront.net.Network;
@@ -41,18 +40,7 @@
   private Tenant tenant;
   private Thread loopThread;
 
-  private final ClientHandle client =
-      new ClientHandle() {
-        @Override
-        public boolean isIdle() {
-          return true;
-        }
-
-        @Override
-        public void endWithError(ProtocolException why, CloseReason reason) {
-          events.add("disconnected");
-        }
-      };
+  private final ClientHandle client = (why, reason, readUntilMicros) -> events.add("disconnected");
 
   private final ClientRequest.ResponseListener responseListener =
       new ClientRequest.ResponseListener() {
--- a/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
+++ b/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
@@ -7,6 +7,7 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.EOFException;
 import java.io.IOException;
@@ -38,6 +39,9 @@
 
   static final int TIMEOUT_MS = 20_000;
 
+  /** Requests of one pipeline; more than are parsed ahead, and than fit into one read. */
+  private static final int PIPELINED_REQUESTS = 300;
+
   private final List<AutoCloseable> open = new ArrayList<>();
   MultiTenantGateway gateway;
   private Thread gatewayThread;
@@ -272,6 +276,55 @@
     assertEquals("", client.next());
   }
 
+  /**
+   * Guards against requests that were read behind others, and not parsed yet, when their tenant is
+   * removed: each gets its response before the connection ends.
+   */
+  @Test
+  void answersEveryPipelinedRequestOfRemovedTenant() throws Exception {
+    EmulatedReplicaSet replicaSet = startReplicaSet("s", 1, 1);
+    replicaSet.hosts().forEach(host -> host.setSilent(true));
+    start(tenant("airport", replicaSet));
+    Client client = pipeliningClient("airport");
+    awaitAdmitted(1);
+    removeTenant("airport");
+    assertAllAnswered(client);
+  }
+
+  /** Guards against the same loss where a change of the classes replaces the tenant. */
+  @Test
+  void answersEveryPipelinedRequestWhenClassesChange() throws Exception {
+    EmulatedReplicaSet replicaSet = startReplicaSet("s", 1, 1);
+    replicaSet.hosts().forEach(host -> host.setSilent(true));
+    start(tenant("airport", replicaSet));
+    Client client = pipeliningClient("airport");
+    awaitAdmitted(1);
+    CompletableFuture<Long> inForce = new CompletableFuture<>();
+    gateway.apply(
+        TenantSpecCodec.read(withReversedClasses("airport", replicaSet)), inForce::complete);
+    assertAllAnswered(client);
+    inForce.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private Client pipeliningClient(String database) throws IOException {
+    Client client = new Client(database, null);
+    assertEquals(List.of(), client.answers());
+    ByteArrayOutputStream requests = new ByteArrayOutputStream();
+    for (int i = 0; i < PIPELINED_REQUESTS; i++) {
+      requests.writeBytes(query("p" + i, "read"));
+    }
+    client.socket.getOutputStream().write(requests.toByteArray());
+    return client;
+  }
+
+  private static void assertAllAnswered(Client client) throws IOException {
+    for (int i = 0; i < PIPELINED_REQUESTS; i++) {
+      assertEquals(List.of("57P03"), client.answers(), "response to request " + i);
+    }
+    assertEquals(List.of("57P03"), client.answers(), "the connection is ended with the reason");
+    assertEquals("", client.next());
+  }
+
   /** Requests admitted before the removal of the tenant are served within the grace period. */
   @Test
   void servesAdmittedRequestsWithinGracePeriod() throws Exception {
