Keep only user and database of a startup message, and 32 parameters of a request

Cause: Message.startupParameters built a map of all parameters, and each connection kept it until it closed: about 0.3 MB each, counted by no budget. Ruled out: the buffers (within the budget of 32 MB) and heads of 12,000 and 30,000 fields (refused by their length).

The comment of a request has at most 32 parameters. A text without its last zero byte ends with the body; it was an exception that ended the connection as a fault.

--- a/gateway/src/main/java/shelffront/frontend/FrontendConnections.java
+++ b/gateway/src/main/java/shelffront/frontend/FrontendConnections.java
@@ -16,6 +16,7 @@
 import shelffront.net.Network;
 import shelffront.pg.ProtocolException;
 import shelffront.pg.SqlState;
+import shelffront.pg.StartupParameters;
 import shelffront.time.ShutdownSchedule;
 
 /**
@@ -199,12 +200,12 @@
    * Tells this instance that a connection that was accepted here has closed on another loop. Called
    * on that loop.
    */
-  void postClosedElsewhere(Map<String, String> startup, FrontendConnections there) {
+  void postClosedElsewhere(StartupParameters startup, FrontendConnections there) {
     network.loop().post(() -> onClosedElsewhere(startup, there));
   }
 
   /** Frees the slot of a connection that was accepted here and closed on another loop. */
-  private void onClosedElsewhere(Map<String, String> startup, FrontendConnections there) {
+  private void onClosedElsewhere(StartupParameters startup, FrontendConnections there) {
     tenantLookup.onConnectionClosed(startup, there);
     movedAwayCounts.merge(
         there, -1, (before, change) -> before + change == 0 ? null : before + change);
--- a/gateway/src/main/java/shelffront/frontend/StartupHandshake.java
+++ b/gateway/src/main/java/shelffront/frontend/StartupHandshake.java
@@ -2,11 +2,11 @@
 
 import java.nio.ByteBuffer;
 import java.util.Arrays;
-import java.util.Map;
 import shelffront.net.CloseReason;
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
 import shelffront.pg.SqlState;
+import shelffront.pg.StartupParameters;
 
 /**
  * State machine for the startup of a client connection: startup message, tenant lookup, move to the
@@ -31,7 +31,7 @@
 
   private final ClientConnection connection;
   private Step step = Step.STARTUP_MESSAGE;
-  private Map<String, String> parameters = Map.of();
+  private StartupParameters parameters = StartupParameters.NONE;
 
   StartupHandshake(ClientConnection connection) {
     this.connection = connection;
@@ -46,7 +46,7 @@
   }
 
   /** The parameters of the startup message; empty until it has been received. */
-  Map<String, String> parameters() {
+  StartupParameters parameters() {
     return parameters;
   }
 
@@ -87,7 +87,7 @@
       throw new ProtocolException(
           SqlState.FEATURE_NOT_SUPPORTED, "only version 3 of the protocol is spoken here");
     }
-    parameters = startup.startupParameters();
+    parameters = StartupParameters.read(startup);
     FrontendConnections frontend = connection.frontend();
     if (frontend.tenantLookup.lookUp(parameters, frontend, this::onTenantLookedUp)) {
       step = Step.TENANT_LOOKUP;
--- a/gateway/src/main/java/shelffront/frontend/TenantLookup.java
+++ b/gateway/src/main/java/shelffront/frontend/TenantLookup.java
@@ -1,8 +1,8 @@
 package shelffront.frontend;
 
-import java.util.Map;
 import java.util.function.Consumer;
 import shelffront.pg.ProtocolException;
+import shelffront.pg.StartupParameters;
 
 /**
  * Resolves the tenant of a client from its startup message, and the event loop that owns the
@@ -17,33 +17,31 @@
    * @return false if the tenant is already known; {@code callback} does not run in that case
    */
   default boolean lookUp(
-      Map<String, String> startup, FrontendConnections here, Consumer<ProtocolException> callback) {
+      StartupParameters startup, FrontendConnections here, Consumer<ProtocolException> callback) {
     return false;
   }
 
   /** The connections of the loop that owns the client's tenant; by default {@code here}. */
-  default FrontendConnections connectionsFor(
-      Map<String, String> startup, FrontendConnections here) {
+  default FrontendConnections connectionsFor(StartupParameters startup, FrontendConnections here) {
     return here;
   }
 
   /** Called when a connection that {@link #connectionsFor} moved to {@code there} has closed. */
-  default void onConnectionClosed(Map<String, String> startup, FrontendConnections there) {}
+  default void onConnectionClosed(StartupParameters startup, FrontendConnections there) {}
 
   /**
    * Returns the handler for a client that needs no password; throws an error for the client if it
    * cannot be admitted.
    */
-  RequestHandler authenticate(Map<String, String> startup) throws ProtocolException;
+  RequestHandler authenticate(StartupParameters startup) throws ProtocolException;
 
   /**
    * Whether a client with these startup parameters must send a password. Where tenants have
    * passwords, the result for an unknown tenant is the same, so that it does not reveal which
    * tenants exist.
    */
-  boolean requiresPassword(Map<String, String> startup);
+  boolean requiresPassword(StartupParameters startup);
 
-  /** Like {@link #authenticate(Map)}, with the password from the client. */
-  RequestHandler authenticate(Map<String, String> startup, byte[] password)
-      throws ProtocolException;
+  /** Like {@link #authenticate(StartupParameters)}, with the password from the client. */
+  RequestHandler authenticate(StartupParameters startup, byte[] password) throws ProtocolException;
 }
--- a/gateway/src/main/java/shelffront/gateway/Gateway.java
+++ b/gateway/src/main/java/shelffront/gateway/Gateway.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import shelffront.backend.BackendConnections.Login;
 import shelffront.config.GatewayConfig;
@@ -14,6 +13,7 @@
 import shelffront.net.CloseReason;
 import shelffront.net.EventLoop;
 import shelffront.net.Network;
+import shelffront.pg.StartupParameters;
 import shelffront.quota.ConnectionQuotas;
 import shelffront.tenant.Tenant;
 import shelffront.tenant.TenantSpec;
@@ -69,17 +69,17 @@
             clientConnectionLimit(config.maxSockets()),
             new TenantLookup() {
               @Override
-              public RequestHandler authenticate(Map<String, String> startup) {
+              public RequestHandler authenticate(StartupParameters startup) {
                 return singleTenant;
               }
 
               @Override
-              public boolean requiresPassword(Map<String, String> startup) {
+              public boolean requiresPassword(StartupParameters startup) {
                 return false;
               }
 
               @Override
-              public RequestHandler authenticate(Map<String, String> startup, byte[] password) {
+              public RequestHandler authenticate(StartupParameters startup, byte[] password) {
                 return singleTenant;
               }
             });
--- a/gateway/src/main/java/shelffront/multitenant/EventLoopGroup.java
+++ b/gateway/src/main/java/shelffront/multitenant/EventLoopGroup.java
@@ -22,6 +22,7 @@
 import shelffront.net.ResourceBudget;
 import shelffront.pg.ProtocolException;
 import shelffront.pg.SqlState;
+import shelffront.pg.StartupParameters;
 import shelffront.quota.ConnectionQuotas;
 import shelffront.quota.EventLoopPlacement;
 import shelffront.quota.SharedCapacity;
@@ -237,8 +238,8 @@
 
   @Override
   public boolean lookUp(
-      Map<String, String> startup, FrontendConnections here, Consumer<ProtocolException> callback) {
-    String name = TenantRegistry.requestedTenantId(startup);
+      StartupParameters startup, FrontendConnections here, Consumer<ProtocolException> callback) {
+    String name = startup.database();
     if (tenantFinder == null || assignments.containsKey(name)) {
       return false;
     }
@@ -256,8 +257,8 @@
   }
 
   @Override
-  public FrontendConnections connectionsFor(Map<String, String> startup, FrontendConnections here) {
-    LoopAssignment assignment = assignments.get(TenantRegistry.requestedTenantId(startup));
+  public FrontendConnections connectionsFor(StartupParameters startup, FrontendConnections here) {
+    LoopAssignment assignment = assignments.get(startup.database());
     if (assignment == null || members.size() == 1) {
       return here; // the first loop rejects clients of unknown tenants
     }
@@ -276,8 +277,8 @@
   }
 
   @Override
-  public void onConnectionClosed(Map<String, String> startup, FrontendConnections there) {
-    LoopAssignment assignment = assignments.get(TenantRegistry.requestedTenantId(startup));
+  public void onConnectionClosed(StartupParameters startup, FrontendConnections there) {
+    LoopAssignment assignment = assignments.get(startup.database());
     // The tenant may have been removed and added again since, with a new assignment that does not
     // count this connection. The count is therefore decremented only if the loop matches and the
     // count is positive.
@@ -323,17 +324,17 @@
   }
 
   @Override
-  public boolean requiresPassword(Map<String, String> startup) {
+  public boolean requiresPassword(StartupParameters startup) {
     return members.get(0).tenants().requiresPassword(startup);
   }
 
   @Override
-  public RequestHandler authenticate(Map<String, String> startup) throws ProtocolException {
+  public RequestHandler authenticate(StartupParameters startup) throws ProtocolException {
     return members.get(0).tenants().authenticate(startup);
   }
 
   @Override
-  public RequestHandler authenticate(Map<String, String> startup, byte[] password)
+  public RequestHandler authenticate(StartupParameters startup, byte[] password)
       throws ProtocolException {
     return members.get(0).tenants().authenticate(startup, password);
   }
--- a/gateway/src/main/java/shelffront/pg/Message.java
+++ b/gateway/src/main/java/shelffront/pg/Message.java
@@ -114,26 +114,17 @@
 
   /** The zero-terminated text at this offset; an unterminated text ends with the body. */
   public String stringAt(int offset) {
-    int end = offset;
-    while (end < body.length && body[end] != 0) {
-      end++;
-    }
-    return new String(body, offset, end - offset, ISO_8859_1);
+    int start = Math.min(offset, body.length);
+    return new String(body, start, endOfString(start) - start, ISO_8859_1);
   }
 
-  /**
-   * The parameters of a startup message. The first value of a repeated name counts; an unterminated
-   * text ends with the body.
-   */
-  public Map<String, String> startupParameters() {
-    Map<String, String> parameters = new HashMap<>();
-    for (int offset = Integer.BYTES; offset < body.length && body[offset] != 0; ) {
-      String name = stringAt(offset);
-      String value = stringAt(offset + name.length() + 1);
-      parameters.putIfAbsent(name, value);
-      offset += name.length() + value.length() + 2;
+  /** The offset of the zero byte that terminates the text at this offset, or of the body's end. */
+  int endOfString(int offset) {
+    int end = Math.min(offset, body.length);
+    while (end < body.length && body[end] != 0) {
+      end++;
     }
-    return parameters;
+    return end;
   }
 
   /** Reads a body that consists of exactly this number of zero-terminated texts. */
--- a/gateway/src/main/java/shelffront/pg/Statement.java
+++ b/gateway/src/main/java/shelffront/pg/Statement.java
@@ -15,6 +15,9 @@
   private static final int MAX_COMMENT_BYTES = 1024;
   private static final int MAX_KEY_LENGTH = 64;
 
+  /** Clients send at most eight; an open request keeps all of them. */
+  private static final int MAX_PARAMETERS = 32;
+
   private final byte[] bytes;
   private final Map<String, String> parameters = new HashMap<>();
   private int commentEnd;
@@ -69,6 +72,11 @@
       throw new ProtocolException(
           SqlState.SYNTAX_ERROR, "the request comment names " + name + " twice");
     }
+    if (parameters.size() > MAX_PARAMETERS) {
+      throw new ProtocolException(
+          SqlState.SYNTAX_ERROR,
+          "the request comment has more than " + MAX_PARAMETERS + " parameters");
+    }
     if (name.equals("d")) {
       timeToDeadlineStart = equals + 1;
       timeToDeadlineEnd = to;
--- a/gateway/src/main/java/shelffront/tenant/TenantRegistry.java
+++ b/gateway/src/main/java/shelffront/tenant/TenantRegistry.java
@@ -11,6 +11,7 @@
 import shelffront.net.Network;
 import shelffront.pg.ProtocolException;
 import shelffront.pg.SqlState;
+import shelffront.pg.StartupParameters;
 import shelffront.quota.ConnectionQuotas;
 import shelffront.quota.DeficitRoundRobin.Flow;
 import shelffront.quota.TenantQuotas;
@@ -168,17 +169,8 @@
 
   // ---- Lookup for clients
 
-  /**
-   * Returns the tenant id in a startup message: its database or, as in PostgreSQL, the user if no
-   * database is given.
-   */
-  public static String requestedTenantId(Map<String, String> startup) {
-    String user = startup.getOrDefault("user", "");
-    return startup.getOrDefault("database", user);
-  }
-
-  private Tenant tenantOf(Map<String, String> startup) {
-    return tenants.get(requestedTenantId(startup));
+  private Tenant tenantOf(StartupParameters startup) {
+    return tenants.get(startup.database());
   }
 
   /**
@@ -186,13 +178,13 @@
    * that require none.
    */
   @Override
-  public boolean requiresPassword(Map<String, String> startup) {
+  public boolean requiresPassword(StartupParameters startup) {
     Tenant tenant = tenantOf(startup);
     return tenant == null || !tenant.spec().credentials().isEmpty();
   }
 
   @Override
-  public Tenant authenticate(Map<String, String> startup) throws ProtocolException {
+  public Tenant authenticate(StartupParameters startup) throws ProtocolException {
     Tenant tenant = tenantOf(startup);
     if (tenant == null) {
       throw unknownDatabase();
@@ -202,10 +194,9 @@
   }
 
   @Override
-  public Tenant authenticate(Map<String, String> startup, byte[] password)
-      throws ProtocolException {
+  public Tenant authenticate(StartupParameters startup, byte[] password) throws ProtocolException {
     Tenant tenant = tenantOf(startup);
-    String user = startup.getOrDefault("user", "");
+    String user = startup.user();
     boolean known = false;
     for (TenantSpec.Credential credential :
         tenant == null ? List.<TenantSpec.Credential>of() : tenant.spec().credentials()) {
