Refuse a large request that has no memory, and serve usual ones without any

Cause: input buffers, queued commands and responses of all connections share one budget, down to the last byte. Requests that arrive slowly held all of it, and a small command or response that found no room ended its connection (CommandReader.read, onInputOverflow), with what stood behind it unanswered.

A large command without room is skipped as it arrives and rejected in its turn with 53300 and when to come back; its connection stays, and what stands behind it is read. A quarter of the budget is left to requests that were accepted, so that slow clients do not take the memory of responses. A command counts twice, since it is held as statement and as output. Counter refused_by_memory. ClientConnection's response listener moved to ResponseWriter.

--- a/gateway/src/main/java/shelffront/backend/BackendConnection.java
+++ b/gateway/src/main/java/shelffront/backend/BackendConnection.java
@@ -6,6 +6,7 @@
 import shelffront.net.CloseReason;
 import shelffront.net.Connection;
 import shelffront.net.EventLoop.Deadline;
+import shelffront.net.MemoryReservation;
 import shelffront.net.Network;
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
@@ -47,8 +48,8 @@
   private final ResponseVerifier verifier = new ResponseVerifier(() -> write(EMPTY_QUERY));
   private QueryResponse response = new QueryResponse(false);
 
-  /** Bytes of the response that are charged to the memory budget. */
-  private int reservedBytes;
+  /** Memory of the response. */
+  private final MemoryReservation reservation = new MemoryReservation();
 
   BackendConnection(
       Network network,
@@ -193,11 +194,10 @@
     }
     response.apply(message);
     int keptBytes = response.keptBytes() + verifier.heldBytes();
-    if (!network.budget().tryAcquire(keptBytes - reservedBytes)) {
+    if (!reservation.tryAdd(keptBytes - reservation.heldBytes(), network.budget()::tryAcquire)) {
       close(CloseReason.NO_MEMORY);
       return false;
     }
-    reservedBytes = keptBytes;
     if (response.isComplete()) {
       // If the buffer is full, surplus bytes may still be unread in the socket.
       onResponseComplete(bytes.hasRemaining() || bytes.limit() == bytes.capacity());
@@ -270,8 +270,7 @@
    */
   private void discardResponse() {
     awaitNextResponse();
-    network.budget().release(reservedBytes);
-    reservedBytes = 0;
+    reservation.reduceTo(0, network.budget());
   }
 
   private void awaitNextResponse() {
--- a/gateway/src/main/java/shelffront/frontend/ClientConnection.java
+++ b/gateway/src/main/java/shelffront/frontend/ClientConnection.java
@@ -3,12 +3,15 @@
 import java.nio.ByteBuffer;
 import java.nio.channels.AsynchronousSocketChannel;
 import shelffront.frontend.CommandQueue.Command;
+import shelffront.frontend.CommandQueue.Entry;
+import shelffront.frontend.CommandQueue.Failure;
+import shelffront.frontend.CommandQueue.Rejections;
 import shelffront.frontend.RequestParser.ParsedRequest;
 import shelffront.net.CloseReason;
 import shelffront.net.Connection;
 import shelffront.net.Counters;
 import shelffront.net.EventLoop.Deadline;
-import shelffront.net.ResourceBudget;
+import shelffront.net.Network;
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
 import shelffront.pg.SqlState;
@@ -21,8 +24,7 @@
  * written, so output stays bounded; a request that was started gets exactly one response unless the
  * client disconnects. Runs on the loop thread of the connection.
  */
-final class ClientConnection extends Connection
-    implements ClientRequest.ResponseListener, ClientHandle {
+final class ClientConnection extends Connection implements ClientHandle {
 
   /** Delay before a timeout that found the connection busy checks again. */
   private static final long TIMEOUT_RECHECK_MICROS = 20_000;
@@ -34,6 +36,7 @@
 
   private final StartupHandshake handshake = new StartupHandshake(this);
   private final CommandReader commands = new CommandReader(this);
+  private final ResponseWriter responses = new ResponseWriter(this);
   private final ClientActivity activity;
 
   /** Target of a move in progress; set by {@link #moveTo}. */
@@ -141,10 +144,6 @@
     return isEnding();
   }
 
-  Deadline scheduleAfter(long delayMicros, Runnable task) {
-    return network.loop().scheduleAt(nowMicros() + delayMicros, task);
-  }
-
   /** Ends a connection that was not admitted; its input is discarded. */
   void rejectConnection(ProtocolException why, CloseReason reason) {
     if (!commands.hasFailed() && !isClosed()) {
@@ -194,16 +193,26 @@
     return arrivalMicrosOfConsumed(bytes);
   }
 
-  ResourceBudget budget() {
-    return network.budget();
+  Network network() {
+    return network;
   }
 
   private void failInput(ProtocolException why, CloseReason reason) {
-    commands.fail(why, reason, nowMicros());
+    commands.fail(why, reason);
+  }
+
+  @Override
+  protected boolean tryAcquireInputMemory(long bytes) {
+    return network.budget().tryAcquireForNewRequest(bytes);
   }
 
   @Override
   protected void onInputOverflow(CloseReason reason) {
+    if (reason == CloseReason.NO_MEMORY && handshake.isComplete()) {
+      commands.rejectIncomplete();
+      reofferInput();
+      return;
+    }
     failInput(ClientErrors.inputOverflow(reason), reason);
     processCommands();
   }
@@ -264,26 +273,32 @@
    */
   private void processCommands() {
     while (!isEnding() && current == null && isOutputEmpty() && !commands.isEmpty()) {
-      Command command = commands.poll();
-      try {
-        process(command);
-      } catch (ProtocolException e) {
-        network.counters().add(Counters.Name.REQUESTS_INVALID);
-        respond(ClientErrors.invalid(e));
+      Entry entry = commands.poll();
+      if (entry instanceof Failure failure) {
+        write(ClientErrors.fatal(failure.why()));
+        closeWhenWritten(failure.reason());
+      } else if (entry instanceof Rejections rejections) {
+        responses.rejectForMemory(rejections.count(), handler.retryAfterMicros());
+      } else if (entry instanceof Command command) {
+        processOrRespond(command);
       }
-      if (current == null && !command.isFailure() && !isClosed()) {
+      if (current == null && !isEnding()) {
         onIdle();
       }
     }
     readMore();
   }
 
-  private void process(Command command) throws ProtocolException {
-    if (command.isFailure()) {
-      write(ClientErrors.fatal(command.failure()));
-      closeWhenWritten(command.closeReason());
-      return;
+  private void processOrRespond(Command command) {
+    try {
+      process(command);
+    } catch (ProtocolException e) {
+      network.counters().add(Counters.Name.REQUESTS_INVALID);
+      respond(ClientErrors.invalid(e));
     }
+  }
+
+  private void process(Command command) throws ProtocolException {
     Message message = command.message();
     if (skippingToSync && message.type() != 'S' && message.type() != 'X') {
       return;
@@ -318,7 +333,7 @@
             arrivalMicros,
             frontend.latestDeadlineMicros(),
             handler.requestClasses(),
-            this);
+            responses);
     handler.validate(parsed.request());
     network.counters().add(Counters.Name.REQUESTS_TAKEN);
     commandDeadline.cancel();
@@ -326,31 +341,12 @@
     parsed.startWith(handler);
   }
 
-  @Override
-  public void onServed(byte[] messages) {
-    if (!commands.tryReserve(messages.length)) {
-      onFailed(); // The memory budget has no room for the value until the client reads it.
-      return;
-    }
-    finishRequest(Counters.Name.ANSWERS_SERVED, messages);
-  }
-
-  @Override
-  public void onRejected(long retryAfterMicros) {
-    finishRequest(Counters.Name.ANSWERS_REFUSED, ClientErrors.rejected(retryAfterMicros));
-  }
-
-  @Override
-  public void onUnavailable() {
-    finishRequest(Counters.Name.ANSWERS_REFUSED, ClientErrors.unavailable());
-  }
-
-  @Override
-  public void onFailed() {
-    finishRequest(Counters.Name.ANSWERS_FAILED, ClientErrors.failed());
+  boolean tryReserveResponse(int bytes) {
+    return commands.tryReserveResponse(bytes);
   }
 
-  private void finishRequest(Counters.Name counter, byte[] messages) {
+  /** Sends the final response of the request in progress. */
+  void finishRequest(Counters.Name counter, byte[] messages) {
     network.counters().add(counter);
     current = null;
     respond(messages);
@@ -358,7 +354,7 @@
     frontend.onMaybeIdle(this);
   }
 
-  private void respond(byte[] messages) {
+  void respond(byte[] messages) {
     write(messages);
     write(Message.readyForQuery());
   }
--- a/gateway/src/main/java/shelffront/frontend/CommandReader.java
+++ b/gateway/src/main/java/shelffront/frontend/CommandReader.java
@@ -1,32 +1,44 @@
 package shelffront.frontend;
 
 import java.nio.ByteBuffer;
-import shelffront.frontend.CommandQueue.Command;
+import java.util.function.LongPredicate;
 import shelffront.net.CloseReason;
+import shelffront.net.MemoryReservation;
+import shelffront.net.ResourceBudget;
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
 import shelffront.pg.SqlState;
 
 /**
  * The input side of a {@link ClientConnection}: reads commands into a queue of bounded size and
- * reserves memory for them and for the response.
+ * reserves memory for them and for the response. A command for which there is no memory is skipped
+ * and rejected in its turn; a usual one needs none but the allowance of its connection.
  *
- * <p>Invariant: queued and active commands, and a response until it is written, are charged to the
- * memory budget. Runs on the loop thread of the connection.
+ * <p>Invariant: queued and active commands, and a response until it is written, are part of the
+ * reservation. Runs on the loop thread of the connection.
  */
 final class CommandReader {
 
   /** Message types that a client may send after startup. */
   private static final String COMMAND_TYPES = "QXSPBDECHFdcf";
 
+  private static final int MESSAGE_TYPE_BYTES = 1;
+
+  /** A command is held as the statement of its request and, while it is sent, as output. */
+  private static final int COPIES_OF_COMMAND = 2;
+
   private final ClientConnection connection;
   private final CommandQueue queue = new CommandQueue();
+  private final MemoryReservation reservation = new MemoryReservation();
 
   /** The error that stopped the parsing of input; null while input is parsed. */
   private String failure;
 
-  /** Bytes of queued commands and of the unwritten response, charged to the memory budget. */
-  private int reservedBytes;
+  /** Whether the command whose first bytes are in the input has no memory. */
+  private boolean rejectsIncomplete;
+
+  /** Bytes that are left of a command that is being skipped. */
+  private int bytesToSkip;
 
   CommandReader(ClientConnection connection) {
     this.connection = connection;
@@ -54,52 +66,96 @@
    */
   boolean read(ByteBuffer bytes) throws ProtocolException {
     boolean commandRead = false;
-    while (wantsInput()) {
-      Message message = Message.readNext(bytes, COMMAND_TYPES, Message.MAX_BYTES);
-      if (message == null) {
-        return commandRead;
-      }
-      // Protects the heap: queued commands count against the budget like active ones.
-      if (!tryReserve(message.body().length)) {
-        throw new ProtocolException(SqlState.OUT_OF_MEMORY, "there is no room for the command");
-      }
-      queue.add(message, connection.arrivalMicros(bytes));
+    while (wantsInput() && readNext(bytes)) {
       commandRead = true;
     }
     return commandRead;
   }
 
+  /** Reads or skips one command; false if it is incomplete. */
+  private boolean readNext(ByteBuffer bytes) throws ProtocolException {
+    if (bytesToSkip > 0) {
+      return skip(bytes);
+    }
+    Message message = Message.readNext(bytes, COMMAND_TYPES, Message.MAX_BYTES);
+    if (message == null) {
+      return rejectsIncomplete && startSkipping(bytes);
+    }
+    rejectsIncomplete = false;
+    if (tryReserve(message.body().length * COPIES_OF_COMMAND, budget()::tryAcquireForNewRequest)) {
+      queue.add(message, connection.arrivalMicros(bytes));
+    } else {
+      queue.addRejection();
+    }
+    return true;
+  }
+
+  private boolean startSkipping(ByteBuffer bytes) throws ProtocolException {
+    rejectsIncomplete = false;
+    if (bytes.get(bytes.position()) != 'Q') {
+      throw new ProtocolException(SqlState.OUT_OF_MEMORY, "there is no room for the message");
+    }
+    bytesToSkip = MESSAGE_TYPE_BYTES + bytes.getInt(bytes.position() + MESSAGE_TYPE_BYTES);
+    return skip(bytes);
+  }
+
+  /** Skips bytes of a command; true if it was skipped whole. */
+  private boolean skip(ByteBuffer bytes) {
+    int skipped = Math.min(bytesToSkip, bytes.remaining());
+    bytes.position(bytes.position() + skipped);
+    bytesToSkip -= skipped;
+    if (bytesToSkip > 0) {
+      return false;
+    }
+    queue.addRejection();
+    return true;
+  }
+
+  /** Rejects the command of which the input has no more than the first part. */
+  void rejectIncomplete() {
+    rejectsIncomplete = true;
+  }
+
+  /** Whether part of a command is being skipped. */
+  boolean isSkipping() {
+    return bytesToSkip > 0;
+  }
+
   /** Stops the parsing of input; the error is sent after the responses to earlier commands. */
-  void fail(ProtocolException why, CloseReason reason, long nowMicros) {
+  void fail(ProtocolException why, CloseReason reason) {
     failure = why.getMessage();
-    queue.addFailure(why, reason, nowMicros);
+    queue.addFailure(why, reason);
   }
 
   boolean isEmpty() {
     return queue.isEmpty();
   }
 
-  /** Removes and returns the first queued command; null if there is none. */
-  Command poll() {
+  /** Removes and returns what is to be processed next; null if there is nothing. */
+  CommandQueue.Entry poll() {
     return queue.poll();
   }
 
-  /** Charges bytes of a command or a response; false if the budget has no room for them. */
-  boolean tryReserve(int bytes) {
-    boolean acquired = connection.budget().tryAcquire(bytes);
-    reservedBytes += acquired ? bytes : 0;
-    return acquired;
+  /** Reserves memory for a response; false if the budget has no room for it. */
+  boolean tryReserveResponse(int bytes) {
+    return tryReserve(bytes, budget()::tryAcquire);
+  }
+
+  private boolean tryReserve(int bytes, LongPredicate acquireFromBudget) {
+    return reservation.tryAdd(bytes, acquireFromBudget);
   }
 
   /** Releases the memory of the active command and its response; queued commands keep theirs. */
   void releaseProcessed() {
-    connection.budget().release(reservedBytes - queue.bytes());
-    reservedBytes = queue.bytes();
+    reservation.reduceTo(queue.bytes() * COPIES_OF_COMMAND, budget());
   }
 
   /** Releases all memory, when the connection closes. */
   void releaseAll() {
-    connection.budget().release(reservedBytes);
-    reservedBytes = 0;
+    reservation.reduceTo(0, budget());
+  }
+
+  private ResourceBudget budget() {
+    return connection.network().budget();
   }
 }
--- a/gateway/src/main/java/shelffront/frontend/RequestHandler.java
+++ b/gateway/src/main/java/shelffront/frontend/RequestHandler.java
@@ -28,6 +28,9 @@
   /** Number of open client connections. */
   int clientCount();
 
+  /** Retry-After of requests that are rejected for lack of memory; 0 if it may not be given. */
+  long retryAfterMicros();
+
   /** Throws if the request is invalid; has no side effects. */
   void validate(ClientRequest request) throws ProtocolException;
 
--- a/gateway/src/main/java/shelffront/frontend/RequestedEnd.java
+++ b/gateway/src/main/java/shelffront/frontend/RequestedEnd.java
@@ -1,6 +1,7 @@
 package shelffront.frontend;
 
 import shelffront.net.CloseReason;
+import shelffront.net.EventLoop;
 import shelffront.net.EventLoop.Deadline;
 import shelffront.pg.ProtocolException;
 
@@ -45,7 +46,8 @@
   /** Ends the connection if nothing is outstanding on it, or checks again later. */
   void check() {
     if (!connection.endIfIdle(why, reason)) {
-      nextCheck = connection.scheduleAfter(RECHECK_MICROS, this::check);
+      EventLoop loop = connection.network().loop();
+      nextCheck = loop.scheduleAt(loop.nowMicros() + RECHECK_MICROS, this::check);
     }
   }
 
--- a/gateway/src/main/java/shelffront/net/Connection.java
+++ b/gateway/src/main/java/shelffront/net/Connection.java
@@ -75,6 +75,11 @@
     close(reason);
   }
 
+  /** Acquires memory for input that exceeds the buffer that every connection has. */
+  protected boolean tryAcquireInputMemory(long bytes) {
+    return network.budget().tryAcquire(bytes);
+  }
+
   /** Describes this connection in its log line, without kind, tenant and reason. */
   protected abstract String describe();
 
--- a/gateway/src/main/java/shelffront/net/ConnectionReader.java
+++ b/gateway/src/main/java/shelffront/net/ConnectionReader.java
@@ -120,7 +120,7 @@
       inputPaused = false;
       return discardedBytes <= MAX_DISCARDED_BYTES;
     }
-    return input.ensureRoomAhead(MAX_READ_AHEAD_BYTES, connection.network.budget());
+    return input.ensureRoomAhead(MAX_READ_AHEAD_BYTES, connection::tryAcquireInputMemory);
   }
 
   private void onRead(Integer byteCount, Throwable failure) {
@@ -184,7 +184,7 @@
       connection.onInputOverflow(CloseReason.TOO_LARGE);
       return false;
     }
-    if (!input.tryEnlarge(connection.network.budget())) {
+    if (!input.tryEnlarge(connection::tryAcquireInputMemory)) {
       connection.onInputOverflow(CloseReason.NO_MEMORY);
       return false;
     }
--- a/gateway/src/main/java/shelffront/net/Counters.java
+++ b/gateway/src/main/java/shelffront/net/Counters.java
@@ -37,6 +37,7 @@
     ANSWERS_FAILED,
     REFUSED_BY_LIMIT,
     REFUSED_BY_SHARE,
+    REFUSED_BY_MEMORY,
     LISTS_HEARD,
     DISCOVERY_FAILURES,
     FAULTS
--- a/gateway/src/main/java/shelffront/net/InputBuffer.java
+++ b/gateway/src/main/java/shelffront/net/InputBuffer.java
@@ -1,6 +1,7 @@
 package shelffront.net;
 
 import java.nio.ByteBuffer;
+import java.util.function.LongPredicate;
 
 /**
  * The bytes that one connection has read and not yet consumed, with their arrival times.
@@ -99,15 +100,15 @@
   /**
    * Whether {@link #INITIAL_BYTES} more fit into the buffer, enlarged up to the limit if needed.
    */
-  boolean ensureRoomAhead(int limitBytes, ResourceBudget budget) {
+  boolean ensureRoomAhead(int limitBytes, LongPredicate acquireFromBudget) {
     return buffer.remaining() >= INITIAL_BYTES
-        || buffer.capacity() < Math.min(maxBytes, limitBytes) && tryEnlarge(budget);
+        || buffer.capacity() < Math.min(maxBytes, limitBytes) && tryEnlarge(acquireFromBudget);
   }
 
   /** Enlarges the buffer by one step; returns false if the budget does not permit it. */
-  boolean tryEnlarge(ResourceBudget budget) {
+  boolean tryEnlarge(LongPredicate acquireFromBudget) {
     int newCapacityBytes = Math.min(maxBytes, buffer.capacity() * GROWTH_FACTOR);
-    if (!budget.tryAcquire(newCapacityBytes - buffer.capacity())) {
+    if (!acquireFromBudget.test(newCapacityBytes - buffer.capacity())) {
       return false;
     }
     ByteBuffer larger = ByteBuffer.allocate(newCapacityBytes);
--- a/gateway/src/main/java/shelffront/net/ResourceBudget.java
+++ b/gateway/src/main/java/shelffront/net/ResourceBudget.java
@@ -9,6 +9,9 @@
  */
 public final class ResourceBudget {
 
+  /** The part of a limit that is left to requests that have been accepted. */
+  private static final long ACCEPTED_REQUESTS_DIVISOR = 4;
+
   private final ResourceBudget parent;
   private final AtomicLong held = new AtomicLong();
   private volatile long limit;
@@ -33,14 +36,28 @@
 
   /** Acquires the amount here and in all parents, or nothing if any limit would be exceeded. */
   public boolean tryAcquire(long amount) {
+    return tryAcquire(amount, false);
+  }
+
+  /**
+   * Acquires the amount for a request that has not been accepted yet. A quarter of each limit is
+   * left to those that have been, so that clients whose requests arrive slowly do not take the
+   * memory for the responses to others.
+   */
+  public boolean tryAcquireForNewRequest(long amount) {
+    return tryAcquire(amount, true);
+  }
+
+  private boolean tryAcquire(long amount, boolean forNewRequest) {
+    long usable = forNewRequest ? limit - limit / ACCEPTED_REQUESTS_DIVISOR : limit;
     long before = held.get();
-    while (amount <= limit - before && !held.compareAndSet(before, before + amount)) {
+    while (amount <= usable - before && !held.compareAndSet(before, before + amount)) {
       before = held.get();
     }
-    if (amount > limit - before) {
+    if (amount > usable - before) {
       return false;
     }
-    if (parent != null && !parent.tryAcquire(amount)) {
+    if (parent != null && !parent.tryAcquire(amount, forNewRequest)) {
       held.addAndGet(-amount);
       return false;
     }
--- a/gateway/src/main/java/shelffront/tenant/RequestAdmission.java
+++ b/gateway/src/main/java/shelffront/tenant/RequestAdmission.java
@@ -15,6 +15,9 @@
   /** Minimum Retry-After of a request that exceeds the tenant's own limits. */
   private static final long MIN_RETRY_AFTER_MICROS = 200_000;
 
+  /** Slow clients are disconnected, and their memory released, within a few seconds. */
+  private static final long MEMORY_RETRY_AFTER_MICROS = 500_000;
+
   private final TenantContext context;
   private final TenantQuotas quotas; // null if the tenant is the only one of the gateway
   private final Quota quota;
@@ -55,6 +58,11 @@
     return 0;
   }
 
+  /** Retry-After of a request for which there is no memory; 0 if it may not be given. */
+  long retryAfterWithoutMemoryMicros() {
+    return context.spec().settings().limits().retryAfterMicros(MEMORY_RETRY_AFTER_MICROS);
+  }
+
   /** Releases the quota place of an admitted request. */
   void release() {
     if (quota != null) {
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -35,10 +35,7 @@
   /** Time without clients after which a tenant of a shared gateway is suspended. */
   private static final long SUSPENSION_DELAY_MICROS = 30_000_000;
 
-  /**
-   * Time after the grace period in which requests are still read, to be rejected, on connections
-   * that never become idle.
-   */
+  /** Time after the grace period until nothing more is read from a client that never pauses. */
   private static final long READ_AFTER_GRACE_MICROS = 1_000_000;
 
   /** Retry-After of requests that a shutdown ends; other gateways serve them at once. */
@@ -256,13 +253,10 @@
       suspension.cancel();
     }
     long untilMicros = context.nowMicros() + graceMicros;
-    List.copyOf(clients)
-        .forEach(
-            client ->
-                client.endWhenAnswered(
-                    removalError(),
-                    CloseReason.TENANT_GONE,
-                    untilMicros + READ_AFTER_GRACE_MICROS));
+    long readUntilMicros = untilMicros + READ_AFTER_GRACE_MICROS;
+    for (ClientHandle client : List.copyOf(clients)) {
+      client.endWhenAnswered(removalError(), CloseReason.TENANT_GONE, readUntilMicros);
+    }
     context.loop().scheduleAt(context.nowMicros(), () -> checkDrained(untilMicros));
   }
 
@@ -319,6 +313,11 @@
     return clients.size();
   }
 
+  @Override
+  public long retryAfterMicros() {
+    return admission.retryAfterWithoutMemoryMicros();
+  }
+
   /** Throws the error to send to a new client if the tenant does not accept one now. */
   void checkAdmission() throws ProtocolException {
     if (context.state().isEnding()) {
--- a/gateway/src/test/java/shelffront/gateway/RecordedExchangeRunner.java
+++ b/gateway/src/test/java/shelffront/gateway/RecordedExchangeRunner.java
@@ -57,6 +57,10 @@
   private String exampleConfig;
   private Gateway gateway;
   private ConfigReload reload;
+
+  /** Bytes of the memory budget. */
+  private static final String DEFAULT_MEMORY = "1048576";
+
   private Thread loopThread;
 
   /** Requested holds that the event loop has not reached yet, in request order. */
@@ -225,7 +229,9 @@
                 (Map<?, ?>) JsonReader.parseObject(exampleConfig).get("settings")),
             EndpointList.read(JsonReader.parseObject(known)));
     EventLog lines = line -> log.add(line.toString());
-    Network network = Network.open(loop, channels, new ResourceBudget(1 << 20), counters, lines);
+    ResourceBudget memory =
+        new ResourceBudget(Long.parseLong(definitions.getOrDefault("@memory", DEFAULT_MEMORY)));
+    Network network = Network.open(loop, channels, memory, counters, lines);
     gateway = new Gateway(network, config);
     reload = new ConfigReload(network, gateway, Map.of("BALANCER_CONFIG", file.toString()));
     gateway.start();
