Derive the memory of buffers from the heap and from limits.memory_mb

Cause: the budget was a constant of 32 MB in a heap of 72 MB, which grows to about twice what is in use. memory_mb was not read.

Change: BufferMemory. The compatibility test of the example file expects the new value too.

--- a/gateway/src/main/java/shelffront/Main.java
+++ b/gateway/src/main/java/shelffront/Main.java
@@ -16,6 +16,7 @@
 import shelffront.gateway.Gateway;
 import shelffront.gateway.ReloadSignal;
 import shelffront.net.AsyncEventLog;
+import shelffront.net.BufferMemory;
 import shelffront.net.Counters;
 import shelffront.net.EventLog;
 import shelffront.net.EventLoop;
@@ -32,7 +33,6 @@
  */
 public final class Main {
 
-  private static final long MAX_BUFFER_BYTES = 32L << 20;
   private static final long STOP_TIMEOUT_SECONDS = 30;
   private static final long LOG_CLOSE_TIMEOUT_MILLIS = 2000;
 
@@ -60,11 +60,12 @@
     }
   }
 
-  private static Network openNetwork(EventLog log) throws IOException {
+  private static Network openNetwork(EventLog log, long maxMemoryBytes) throws IOException {
     Counters counters = new Counters();
     EventLoop loop =
         new EventLoop(() -> ChronoUnit.MICROS.between(Instant.EPOCH, Instant.now()), counters);
-    return Network.open(loop, new ResourceBudget(MAX_BUFFER_BYTES), counters, log);
+    long bufferBytes = BufferMemory.budgetBytes(Runtime.getRuntime().maxMemory(), maxMemoryBytes);
+    return Network.open(loop, new ResourceBudget(bufferBytes), counters, log);
   }
 
   private static AsyncEventLog openLog() {
@@ -74,7 +75,7 @@
   private static void trainingRun()
       throws IOException, MalformedInputException, InterruptedException {
     AsyncEventLog log = openLog();
-    TrainingRun.run(System.getenv(), openNetwork(log));
+    TrainingRun.run(System.getenv(), openNetwork(log, 0));
     log.close(LOG_CLOSE_TIMEOUT_MILLIS);
   }
 
@@ -82,7 +83,7 @@
     ReloadSignal reloadSignal = ReloadSignal.install(GatewayConfig.file(System.getenv()));
     GatewayConfig config = GatewayConfig.fromEnvironment(System.getenv());
     AsyncEventLog log = openLog();
-    Network network = openNetwork(log);
+    Network network = openNetwork(log, config.maxMemoryBytes());
     EventLoop loop = network.loop();
     Gateway gateway = new Gateway(network, config);
     CountDownLatch stopped = new CountDownLatch(1);
--- a/gateway/src/main/java/shelffront/config/GatewayConfig.java
+++ b/gateway/src/main/java/shelffront/config/GatewayConfig.java
@@ -10,7 +10,11 @@
 import java.util.Map;
 import shelffront.routing.RoutingSettings;
 
-/** The configuration of a single-tenant gateway, from the environment and a JSON file. */
+/**
+ * The configuration of a single-tenant gateway, from the environment and a JSON file.
+ *
+ * @param maxMemoryBytes the memory that the process may use; 0 if it is not limited
+ */
 public record GatewayConfig(
     String name,
     InetSocketAddress listenAddress,
@@ -19,13 +23,37 @@
     int maxSockets,
     int maxOpenRequests,
     RoutingSettings settings,
-    EndpointList knownEndpoints) {
+    EndpointList knownEndpoints,
+    long maxMemoryBytes) {
 
   private static final int DEFAULT_MAX_SOCKETS = 1024;
   private static final int DEFAULT_MAX_OPEN_REQUESTS = 20_000;
   private static final int SEED_RADIX = 16;
   private static final int MAX_PORT = 65_535;
   private static final int MAX_FILE_BYTES = 1 << 20;
+  private static final int MEBIBYTE_SHIFT = 20;
+
+  /** Creates a configuration without a limit on memory. */
+  public GatewayConfig(
+      String name,
+      InetSocketAddress listenAddress,
+      InetSocketAddress discoveryAddress,
+      long seed,
+      int maxSockets,
+      int maxOpenRequests,
+      RoutingSettings settings,
+      EndpointList knownEndpoints) {
+    this(
+        name,
+        listenAddress,
+        discoveryAddress,
+        seed,
+        maxSockets,
+        maxOpenRequests,
+        settings,
+        knownEndpoints,
+        0);
+  }
 
   /**
    * Reads the configuration file that the environment names. Environment variables take precedence
@@ -38,17 +66,19 @@
       throws IOException, MalformedInputException {
     Map<?, ?> root = JsonReader.parseObject(readText(file(environment)));
     Map<?, ?> settings = JsonReader.object(root, "settings");
+    Map<?, ?> limits = JsonReader.object(root, "limits");
     return new GatewayConfig(
         environmentOrFile(environment, "BALANCER_NAME", root, "name"),
         parseAddress(environmentOrFile(environment, "BALANCER_LISTEN", root, "listen")),
         parseAddress(environmentOrFile(environment, "BALANCER_DISCOVERY", root, "discovery")),
         seed(JsonReader.text(root, "seed")),
-        (int) JsonReader.number(JsonReader.object(root, "limits"), "sockets", DEFAULT_MAX_SOCKETS),
+        (int) JsonReader.number(limits, "sockets", DEFAULT_MAX_SOCKETS),
         (int)
             JsonReader.number(
                 JsonReader.object(settings, "limits"), "openCap", DEFAULT_MAX_OPEN_REQUESTS),
         RoutingSettingsCodec.read(settings),
-        EndpointList.read(JsonReader.object(root, "known")));
+        EndpointList.read(JsonReader.object(root, "known")),
+        (long) JsonReader.number(limits, "memory_mb", 0) << MEBIBYTE_SHIFT);
   }
 
   /**
--- a/gateway/src/test/java/shelffront/compatibility/ConfigurationCompatibilityTest.java
+++ b/gateway/src/test/java/shelffront/compatibility/ConfigurationCompatibilityTest.java
@@ -216,7 +216,8 @@
                     8, 2_000_000, true, true, false, true, false, 250_000, 30_000_000),
                 0,
                 0.01),
-            EndpointList.empty()),
+            EndpointList.empty(),
+            192L << 20),
         config);
   }
 
