Drop a replica set that no list has named with its last open request

Cause: RoutingState.replicaSet keeps a set, with its queues and budgets, for every number that a request names; maintenance visits them all and the heap fills.

Change: RequestCompletion drops a set that no list has ever named when its last open request has its response. Loops over the sets copy them.

Why it holds: state follows lists and open requests, not names. Sets that a list has named keep what was learned, as before.

--- a/core/src/main/java/shelffront/decision/EndpointRegistry.java
+++ b/core/src/main/java/shelffront/decision/EndpointRegistry.java
@@ -76,6 +76,7 @@
    */
   private static void join(ReplicaSet replicaSet, EndpointState endpoint) {
     endpoint.replicaSet = replicaSet;
+    replicaSet.listed = true;
     replicaSet.endpoints.put(endpoint.id, endpoint);
     if (endpoint.listed.listedAsPrimary()
         && replicaSet.primary == null
--- a/core/src/main/java/shelffront/decision/ReplicaSet.java
+++ b/core/src/main/java/shelffront/decision/ReplicaSet.java
@@ -20,6 +20,12 @@
 
   final TreeMap<String, EndpointState> endpoints = new TreeMap<>();
 
+  /** Whether an endpoint list has ever named an endpoint of this set. */
+  boolean listed;
+
+  /** Requests for this set that await their final response. */
+  int openRequests;
+
   /** Ids of the replicas that this gateway prefers; null if they have to be recomputed. */
   List<String> preferredReplicas;
 
--- a/core/src/main/java/shelffront/decision/RequestCompletion.java
+++ b/core/src/main/java/shelffront/decision/RequestCompletion.java
@@ -16,6 +16,10 @@
    * permit cancellation.
    */
   void complete(PendingRequest request) {
+    if (request.open) {
+      request.replicaSet.openRequests--;
+      dropIfUnused(request.request.replicaSet(), request.replicaSet);
+    }
     request.open = false;
     request.queue = null;
     state.pendingRequests.remove(request.request.id());
@@ -25,6 +29,16 @@
     }
   }
 
+  /**
+   * Drops a replica set that only requests have named, so that their number bounds the state that
+   * they create.
+   */
+  private void dropIfUnused(int number, ReplicaSet replicaSet) {
+    if (!replicaSet.listed && replicaSet.openRequests == 0) {
+      state.replicaSets.remove(number);
+    }
+  }
+
   private void cancel(Attempt attempt) {
     state.actions.cancelAttempt(attempt.request.request.id(), attempt.number);
   }
--- a/core/src/main/java/shelffront/decision/RoutingEngine.java
+++ b/core/src/main/java/shelffront/decision/RoutingEngine.java
@@ -82,7 +82,8 @@
       policies.registry.removeUnlisted(endpoints);
     }
     policies.registry.apply(endpoints);
-    state.replicaSets.values().forEach(policies.scheduler::dispatchQueued);
+    // A copy, since a set that no list names is dropped with its last request.
+    List.copyOf(state.replicaSets.values()).forEach(policies.scheduler::dispatchQueued);
   }
 
   @Override
@@ -99,6 +100,7 @@
             policies.positions.sessionPosition(request),
             nowMicros);
     state.pendingRequests.put(request.id(), pending);
+    replicaSet.openRequests++;
     replicaSet.slowStartBudget.recordRequest(nowMicros, requestClass.requiresPrimary());
     long lastTickMicros = pending.deadlineMicros - state.settings.tickMicros();
     state.schedule(
@@ -230,7 +232,7 @@
   private void maintain() {
     policies.queueOrder.update();
     policies.slowStartAdmission.updateWarmEndpointSends();
-    for (ReplicaSet replicaSet : state.replicaSets.values()) {
+    for (ReplicaSet replicaSet : List.copyOf(state.replicaSets.values())) {
       if (replicaSet.hasQueuedRequests()) {
         policies.healthChecks.checkForQueuedRequests(replicaSet);
         policies.scheduler.dispatchQueued(replicaSet);
--- a/core/src/main/java/shelffront/decision/RoutingState.java
+++ b/core/src/main/java/shelffront/decision/RoutingState.java
@@ -82,7 +82,10 @@
     return typicalServiceMicros[request.request.classIndex()];
   }
 
-  /** Returns the replica set with this number, which is created on first use. */
+  /**
+   * Returns the replica set with this number, which is created on first use and, unless a list
+   * names it, dropped with its last open request.
+   */
   ReplicaSet replicaSet(int number) {
     double overloadSeconds =
         Math.max(MIN_OVERLOAD_WINDOW_SECONDS, settings.safetyRules().overloadWindowMicros() / 1e6);
--- a/core/src/test/java/shelffront/decision/RequestSchedulingTest.java
+++ b/core/src/test/java/shelffront/decision/RequestSchedulingTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.Test;
 import shelffront.routing.AttemptStatus;
 import shelffront.routing.Availability;
+import shelffront.routing.Endpoint;
 import shelffront.routing.EndpointUpdateKind;
 import shelffront.routing.Request;
 import shelffront.routing.Role;
@@ -253,4 +254,34 @@
     int size = harness.router.state.timers.size();
     assertTrue(size < 1_000, size + " timers");
   }
+
+  /** Guards against memory and work that grow with the replica sets that clients have named. */
+  @Test
+  void dropsReplicaSetsThatNoListNamesWithTheirLastRequest() {
+    harness.start();
+    for (int i = 0; i < 1_000; i++) {
+      harness.requestFor("a" + i, 100 + i, RoutingTestHarness.MS);
+      harness.requestFor("b" + i, 100 + i, 1_000 * RoutingTestHarness.MS);
+    }
+    assertEquals(1_001, harness.router.state.replicaSets.size());
+    harness.updateEndpoints(RoutingTestHarness.endpoint("m4", 0, Availability.READY));
+    harness.advanceTime(2_000 * RoutingTestHarness.MS);
+    assertEquals(2_000, rejections());
+    assertEquals(1, harness.router.state.replicaSets.size());
+  }
+
+  private long rejections() {
+    return harness.newActions().stream().filter(action -> action.startsWith("reject ")).count();
+  }
+
+  /** A request may arrive before the list that names its replica set. */
+  @Test
+  void sendsQueuedRequestOnceAListNamesItsReplicaSet() {
+    harness.start();
+    harness.requestFor("a", 9, 1_000 * RoutingTestHarness.MS);
+    harness.advanceTime(10 * RoutingTestHarness.MS);
+    harness.updateEndpoints(new Endpoint("n1", "kind", "z1", 9, 1, 0, false, Availability.READY));
+    harness.answerHealthCheck("n1", Role.REPLICA, harness.nowMicros);
+    assertTrue(harness.newActions().stream().anyMatch(action -> action.startsWith("send a")));
+  }
 }
--- a/core/src/test/java/shelffront/decision/RoutingTestHarness.java
+++ b/core/src/test/java/shelffront/decision/RoutingTestHarness.java
@@ -201,6 +201,14 @@
         new Request(id, classIndex, "s", 1, timeToDeadlineMicros, requiredPositionMicros, false));
   }
 
+  /** A read that any endpoint of the replica set may serve, with this time to its deadline. */
+  void requestFor(String id, int replicaSet, long timeToDeadlineMicros) {
+    router.onRequest(
+        nowMicros,
+        new Request(
+            id, EVENTUAL_READ, null, replicaSet, timeToDeadlineMicros, Router.UNKNOWN, false));
+  }
+
   void outcome(String id, int attempt, String endpointId, AttemptStatus status, Role role) {
     outcome(id, attempt, endpointId, status, role, 50 * MS);
   }
