Read to a client's end however much stands before it, and begin nothing until then

Cause: ConnectionReader.hasRoomToReadAhead stopped at 192 KiB, or earlier where the budget was full, and behind noise at 1 MB. The end stands behind what is unread, so each further command was begun until a response met a reset.

Change: up to 1 MB is kept behind waiting commands; commands that do not fit are skipped as they arrive and only their number is kept, for a refusal each. A client that goes on sending is read at a limited rate, and meanwhile nothing is begun or repeated for it (ResponseListener.mayStartAttempt). CommandTimeout moved out of ClientConnection.

Why it holds for every timing: either everything is read as it comes, with the end behind it, or no attempt starts.

--- a/gateway/src/main/java/shelffront/frontend/ClientConnection.java
+++ b/gateway/src/main/java/shelffront/frontend/ClientConnection.java
@@ -10,7 +10,6 @@
 import shelffront.net.CloseReason;
 import shelffront.net.Connection;
 import shelffront.net.Counters;
-import shelffront.net.EventLoop.Deadline;
 import shelffront.net.Network;
 import shelffront.pg.Message;
 import shelffront.pg.ProtocolException;
@@ -26,9 +25,6 @@
  */
 final class ClientConnection extends Connection implements ClientHandle {
 
-  /** Delay before a timeout that found the connection busy checks again. */
-  private static final long TIMEOUT_RECHECK_MICROS = 20_000;
-
   private FrontendConnections frontend;
 
   /** Accepted this connection and counts its slot; differs from {@link #frontend} after a move. */
@@ -53,19 +49,15 @@
 
   private ClientRequest current;
 
-  /** Bounds the wait for the next complete command; cancelled while a request is in progress. */
-  private Deadline commandDeadline;
+  /** Cancelled while a request is in progress. */
+  private final CommandTimeout commandTimeout;
 
   ClientConnection(FrontendConnections frontend, AsynchronousSocketChannel channel) {
     super(frontend.network, "client", channel, Message.MAX_BYTES);
     this.frontend = frontend;
     acceptedBy = frontend;
     activity = new ClientActivity(nowMicros());
-    scheduleTimeout(activity.firstCommandDeadlineMicros(), CloseReason.STARTUP_TIMEOUT);
-  }
-
-  private void scheduleTimeout(long atMicros, CloseReason reason) {
-    commandDeadline = network.loop().scheduleAt(atMicros, () -> closeOnTimeout(reason));
+    commandTimeout = new CommandTimeout(this, activity);
   }
 
   /** Starts reading; may close the connection synchronously, so the caller registers it first. */
@@ -109,16 +101,14 @@
     return isEvictableUnderPressure() && tryCloseGracefully(reason);
   }
 
-  /** Closes the connection, or checks again later if it is busy or has unprocessed input. */
-  private void closeOnTimeout(CloseReason reason) {
-    if (!isIdle() || !tryCloseGracefully(reason)) {
-      scheduleTimeout(nowMicros() + TIMEOUT_RECHECK_MICROS, reason);
-    }
+  /** Closes the connection in order, or does nothing if it is busy or has unprocessed input. */
+  boolean tryCloseIdle(CloseReason reason) {
+    return isIdle() && tryCloseGracefully(reason);
   }
 
   @Override
   protected void onLingering() {
-    commandDeadline.cancel();
+    commandTimeout.cancel();
     frontend.onLingering(this);
   }
 
@@ -146,15 +136,15 @@
 
   /** Ends a connection that was not admitted; its input is discarded. */
   void rejectConnection(ProtocolException why, CloseReason reason) {
-    if (!commands.hasFailed() && !isClosed()) {
-      failInput(why, reason);
+    if (!commands.hasInputEnded() && !isClosed()) {
+      commands.fail(why, reason);
       processCommands();
     }
   }
 
   @Override
   protected boolean discardsInput() {
-    return commands.hasFailed();
+    return commands.hasInputEnded();
   }
 
   @Override
@@ -179,7 +169,7 @@
         activity.recordCommand();
       }
     } catch (ProtocolException e) {
-      failInput(e, ClientErrors.closeReasonOf(e.sqlState()));
+      commands.fail(e, ClientErrors.closeReasonOf(e.sqlState()));
     }
     boolean commandBegun = activity.recordIncompleteCommand(bytes.hasRemaining() && wantsInput());
     if (commandBegun && activity.hasSentCommand() && isIdle()) {
@@ -197,15 +187,26 @@
     return network;
   }
 
-  private void failInput(ProtocolException why, CloseReason reason) {
-    commands.fail(why, reason);
-  }
-
   @Override
   protected boolean tryAcquireInputMemory(long bytes) {
     return network.budget().tryAcquireForNewRequest(bytes);
   }
 
+  @Override
+  protected void giveUpInput(ByteBuffer bytes) {
+    commands.rejectAll(bytes);
+  }
+
+  @Override
+  protected boolean givesUpInput() {
+    return commands.isRejecting();
+  }
+
+  @Override
+  protected void onInputCaughtUp() {
+    commands.stopRejecting();
+  }
+
   @Override
   protected void onInputOverflow(CloseReason reason) {
     if (reason == CloseReason.NO_MEMORY && handshake.isComplete()) {
@@ -213,11 +214,11 @@
       reofferInput();
       return;
     }
-    failInput(ClientErrors.inputOverflow(reason), reason);
+    commands.fail(ClientErrors.inputOverflow(reason), reason);
     processCommands();
   }
 
-  /** Sends a startup message. */
+  /** Sends a startup message or whole responses. */
   void send(byte[] message) {
     write(message);
   }
@@ -225,7 +226,7 @@
   /** Continues the startup after the tenant lookup; a non-null failure goes to the client. */
   void onTenantLookedUp(ProtocolException failure) {
     if (failure != null) {
-      failInput(failure, CloseReason.NO_TENANT);
+      commands.fail(failure, CloseReason.NO_TENANT);
       processCommands();
       return;
     }
@@ -240,14 +241,14 @@
 
   @Override
   protected void onLeavingLoop() {
-    commandDeadline.cancel();
+    commandTimeout.cancel();
     frontend.onMovedAway(this, destination);
   }
 
   private void resumeOnNewLoop() {
     frontend = destination;
     frontend.onArrived(this);
-    scheduleTimeout(activity.firstCommandDeadlineMicros(), CloseReason.STARTUP_TIMEOUT);
+    commandTimeout.startForFirstCommand();
     resumeAfterMove();
   }
 
@@ -262,8 +263,7 @@
 
   /** Restarts the timeout that closes connections that stay idle or stop within a command. */
   private void onIdle() {
-    commandDeadline.cancel();
-    scheduleTimeout(activity.nextCommandDeadlineMicros(nowMicros()), CloseReason.IDLE);
+    commandTimeout.restart();
     frontend.onUsed(this);
   }
 
@@ -290,6 +290,10 @@
   }
 
   private void processOrRespond(Command command) {
+    if (command.message().type() == 'Q' && isReadBehind()) {
+      responses.rejectForMemory(1, handler.retryAfterMicros());
+      return;
+    }
     try {
       process(command);
     } catch (ProtocolException e) {
@@ -336,7 +340,7 @@
             responses);
     handler.validate(parsed.request());
     network.counters().add(Counters.Name.REQUESTS_TAKEN);
-    commandDeadline.cancel();
+    commandTimeout.cancel();
     current = parsed.request();
     parsed.startWith(handler);
   }
@@ -368,7 +372,7 @@
 
   @Override
   protected void onClosed(CloseReason reason) {
-    commandDeadline.cancel();
+    commandTimeout.cancel();
     commands.releaseAll();
     if (requestedEnd != null) {
       requestedEnd.cancel();
@@ -388,7 +392,7 @@
 
   @Override
   protected String describe() {
-    if (commands.hasFailed()) {
+    if (commands.failure() != null) {
       return "(" + commands.failure() + ")";
     }
     return current == null ? "-" : "request=" + current.id;
--- a/gateway/src/main/java/shelffront/frontend/CommandQueue.java
+++ b/gateway/src/main/java/shelffront/frontend/CommandQueue.java
@@ -41,12 +41,14 @@
     entries.add(new Command(message, arrivalMicros));
   }
 
-  void addRejection() {
+  void addRejections(long count) {
     long before = entries.peekLast() instanceof Rejections last ? last.count() : 0;
     if (before > 0) {
       entries.removeLast();
     }
-    entries.add(new Rejections(before + 1));
+    if (before + count > 0) {
+      entries.add(new Rejections(before + count));
+    }
   }
 
   /** Queues a fatal failure, behind which nothing is added. */
--- a/gateway/src/main/java/shelffront/frontend/CommandReader.java
+++ b/gateway/src/main/java/shelffront/frontend/CommandReader.java
@@ -31,12 +31,18 @@
   private final CommandQueue queue = new CommandQueue();
   private final MemoryReservation reservation = new MemoryReservation();
 
-  /** The error that stopped the parsing of input; null while input is parsed. */
+  /** The error that stopped the parsing of input; null without one. */
   private String failure;
 
+  /** Whether further input is discarded, after an error or the client's last message. */
+  private boolean inputEnded;
+
   /** Whether the command whose first bytes are in the input has no memory. */
   private boolean rejectsIncomplete;
 
+  /** Whether commands behind the queued ones are rejected, since there were too many. */
+  private boolean rejecting;
+
   /** Bytes that are left of a command that is being skipped. */
   private int bytesToSkip;
 
@@ -46,15 +52,15 @@
 
   /** Whether another command may be read. */
   boolean wantsInput() {
-    return failure == null && !queue.isFull();
+    return !inputEnded && !rejecting && !queue.isFull();
   }
 
-  /** Whether input cannot be parsed any more; it is discarded. */
-  boolean hasFailed() {
-    return failure != null;
+  /** Whether further input is discarded, after an error or the client's last message. */
+  boolean hasInputEnded() {
+    return inputEnded;
   }
 
-  /** The error that stopped the parsing of input; null while input is parsed. */
+  /** The error that stopped the parsing of input; null without one. */
   String failure() {
     return failure;
   }
@@ -75,7 +81,7 @@
   /** Reads or skips one command; false if it is incomplete. */
   private boolean readNext(ByteBuffer bytes) throws ProtocolException {
     if (bytesToSkip > 0) {
-      return skip(bytes);
+      return rejectOnceSkipped(bytes);
     }
     Message message = Message.readNext(bytes, COMMAND_TYPES, Message.MAX_BYTES);
     if (message == null) {
@@ -85,7 +91,7 @@
     if (tryReserve(message.body().length * COPIES_OF_COMMAND, budget()::tryAcquireForNewRequest)) {
       queue.add(message, connection.arrivalMicros(bytes));
     } else {
-      queue.addRejection();
+      queue.addRejections(1);
     }
     return true;
   }
@@ -96,7 +102,13 @@
       throw new ProtocolException(SqlState.OUT_OF_MEMORY, "there is no room for the message");
     }
     bytesToSkip = MESSAGE_TYPE_BYTES + bytes.getInt(bytes.position() + MESSAGE_TYPE_BYTES);
-    return skip(bytes);
+    return rejectOnceSkipped(bytes);
+  }
+
+  private boolean rejectOnceSkipped(ByteBuffer bytes) {
+    boolean whole = skip(bytes);
+    queue.addRejections(whole ? 1 : 0);
+    return whole;
   }
 
   /** Skips bytes of a command; true if it was skipped whole. */
@@ -104,11 +116,57 @@
     int skipped = Math.min(bytesToSkip, bytes.remaining());
     bytes.position(bytes.position() + skipped);
     bytesToSkip -= skipped;
-    if (bytesToSkip > 0) {
+    return bytesToSkip == 0;
+  }
+
+  /**
+   * Rejects all commands in the input, of which the last may be incomplete, without regard to the
+   * room in the queue: only their number is kept. Nothing but queries can be rejected; a client
+   * that sends so much else is disconnected.
+   */
+  void rejectAll(ByteBuffer bytes) {
+    rejecting = true;
+    ProtocolException why = null;
+    long rejected = 0;
+    try {
+      while ((bytesToSkip > 0 || isQueryNext(bytes)) && skip(bytes)) {
+        rejected++;
+      }
+    } catch (ProtocolException e) {
+      why = e;
+    }
+    queue.addRejections(rejected);
+    if (why != null) {
+      fail(why, ClientErrors.closeReasonOf(why.sqlState()));
+    } else if (inputEnded) {
+      queue.add(new Message('X', new byte[0]), connection.arrivalMicros(bytes));
+    }
+  }
+
+  /** Whether the input continues with a query, which is then to be skipped. */
+  private boolean isQueryNext(ByteBuffer bytes) throws ProtocolException {
+    int size = Message.nextSize(bytes, COMMAND_TYPES, Message.MAX_BYTES);
+    if (size < 0) {
       return false;
     }
-    queue.addRejection();
-    return true;
+    switch (bytes.get(bytes.position())) {
+      case 'Q' -> bytesToSkip = size;
+      case 'X' -> inputEnded = true;
+      default ->
+          throw new ProtocolException(
+              SqlState.PROGRAM_LIMIT_EXCEEDED, "too many messages wait for their turn");
+    }
+    return bytesToSkip > 0;
+  }
+
+  /** Whether commands behind the queued ones are rejected, since there were too many. */
+  boolean isRejecting() {
+    return rejecting && !inputEnded;
+  }
+
+  /** Reads commands again, now that all that had been sent is read. */
+  void stopRejecting() {
+    rejecting = false;
   }
 
   /** Rejects the command of which the input has no more than the first part. */
@@ -116,14 +174,10 @@
     rejectsIncomplete = true;
   }
 
-  /** Whether part of a command is being skipped. */
-  boolean isSkipping() {
-    return bytesToSkip > 0;
-  }
-
   /** Stops the parsing of input; the error is sent after the responses to earlier commands. */
   void fail(ProtocolException why, CloseReason reason) {
     failure = why.getMessage();
+    inputEnded = true;
     queue.addFailure(why, reason);
   }
 
--- a/gateway/src/main/java/shelffront/frontend/ResponseWriter.java
+++ b/gateway/src/main/java/shelffront/frontend/ResponseWriter.java
@@ -1,6 +1,8 @@
 package shelffront.frontend;
 
+import java.nio.ByteBuffer;
 import shelffront.net.Counters;
+import shelffront.pg.Message;
 import shelffront.request.ClientRequest;
 
 /** Sends the final response of a connection's request to its client, and counts it by kind. */
@@ -12,6 +14,11 @@
     this.connection = connection;
   }
 
+  @Override
+  public boolean mayStartAttempt() {
+    return !connection.isReadBehind(); // otherwise the client may have left unnoticed
+  }
+
   @Override
   public void onServed(byte[] messages) {
     if (!connection.tryReserveResponse(messages.length)) {
@@ -43,9 +50,12 @@
     counters.add(Counters.Name.REQUESTS_TAKEN, count);
     counters.add(Counters.Name.ANSWERS_REFUSED, count);
     counters.add(Counters.Name.REFUSED_BY_MEMORY, count);
-    byte[] response = ClientErrors.rejected(retryAfterMicros);
-    for (long left = count; left > 0; left--) {
-      connection.respond(response);
+    byte[] error = ClientErrors.rejected(retryAfterMicros);
+    byte[] ready = Message.readyForQuery();
+    ByteBuffer responses = ByteBuffer.allocate((int) count * (error.length + ready.length));
+    while (responses.hasRemaining()) {
+      responses.put(error).put(ready);
     }
+    connection.send(responses.array());
   }
 }
--- a/gateway/src/main/java/shelffront/net/Connection.java
+++ b/gateway/src/main/java/shelffront/net/Connection.java
@@ -75,6 +75,25 @@
     close(reason);
   }
 
+  /**
+   * Called when no more unconsumed input fits, and for all input while {@link #givesUpInput}. It
+   * may consume bytes unprocessed, so that reading goes on and the peer's close is detected.
+   */
+  protected void giveUpInput(ByteBuffer bytes) {}
+
+  /** Whether input is given up as it arrives. */
+  protected boolean givesUpInput() {
+    return false;
+  }
+
+  /** Called when input was given up and the socket has no more. */
+  protected void onInputCaughtUp() {}
+
+  /** Whether very much input is read at a limited rate, so that a close may be detected late. */
+  public final boolean isReadBehind() {
+    return reader.isBehind();
+  }
+
   /** Acquires memory for input that exceeds the buffer that every connection has. */
   protected boolean tryAcquireInputMemory(long bytes) {
     return network.budget().tryAcquire(bytes);
--- a/gateway/src/main/java/shelffront/net/ConnectionReader.java
+++ b/gateway/src/main/java/shelffront/net/ConnectionReader.java
@@ -8,16 +8,28 @@
  * discards input during a lingering close.
  *
  * <p>Invariants: at most one read is outstanding; while the connection wants no input, that read
- * uses a separate buffer, so that the peer's close is detected behind unconsumed input. Runs on the
- * connection's loop thread.
+ * uses a separate buffer, so that the peer's close is detected behind unconsumed input. Input that
+ * does not fit is given up; a peer that sends very much of it is read at a limited rate, and {@link
+ * #isBehind} until all of it has been read. Runs on the connection's loop thread.
  */
 final class ConnectionReader {
 
-  /** Limit of the input that is read ahead only to detect the peer's close behind it. */
-  private static final int MAX_READ_AHEAD_BYTES = 192 * 1024;
+  /** Limit of the input that is kept while the connection wants none. */
+  private static final int MAX_READ_AHEAD_BYTES = 1 << 20;
 
   private static final int MAX_DISCARDED_BYTES = 1 << 20;
 
+  /** Input that may be given up or discarded in a burst before the rate is limited. */
+  private static final int MAX_UNPACED_BYTES = 1 << 20;
+
+  /** Input that may be given up or discarded in each second without counting. */
+  private static final int UNPACED_BYTES_PER_SECOND = 1 << 18;
+
+  private static final long MICROS_PER_SECOND = 1_000_000;
+
+  /** Time between reads beyond {@link #MAX_UNPACED_BYTES}, so that such a peer costs little. */
+  private static final long PACED_READ_INTERVAL_MICROS = 20_000;
+
   private final Connection connection;
   private final AsynchronousSocketChannel channel;
   private final InputBuffer input;
@@ -29,6 +41,17 @@
   /** Null while no read ahead is outstanding. */
   private ByteBuffer readAheadBuffer;
 
+  /** Bytes that were given up or discarded, less what may be in the time since. */
+  private long unusedBytes;
+
+  private long unusedAtMicros;
+
+  /** Whether such input is read at a limited rate, so that more of it may wait in the socket. */
+  private boolean behind;
+
+  /** While {@link #behind}, the time of the next read. */
+  private long nextReadAtMicros;
+
   private boolean offeringInput;
 
   /** Whether input is left unconsumed because the connection wanted no more. */
@@ -37,9 +60,6 @@
   /** Bytes that may still be read and discarded during the lingering close. */
   private int lingerBytesLeft;
 
-  /** Bytes discarded so far while {@link Connection#discardsInput} is true. */
-  private long discardedBytes;
-
   ConnectionReader(Connection connection, AsynchronousSocketChannel channel, int maxInputBytes) {
     this.connection = connection;
     this.channel = channel;
@@ -82,11 +102,16 @@
         return;
       }
     }
-    if (!reading && connection.mayStartRead()) {
+    if (!reading && connection.mayStartRead() && connection.nowMicros() >= nextReadAtMicros) {
       startRead();
     }
   }
 
+  /** Whether the peer has sent input that was not read yet and may have closed behind it. */
+  boolean isBehind() {
+    return behind;
+  }
+
   private void startRead() {
     if (connection.wantsInput()) {
       if (input.isFull() && !growInput()) {
@@ -111,15 +136,30 @@
   }
 
   /**
-   * Whether a read ahead fits behind the unconsumed input. If it does not, the peer's close is
-   * detected later.
+   * Whether a read ahead fits behind the unconsumed input, of which the connection may give up some
+   * for it. If it does not fit, the peer's close is detected later.
    */
   private boolean hasRoomToReadAhead() {
     if (connection.discardsInput()) {
-      discardedBytes += input.discardAll();
+      input.discardAll();
       inputPaused = false;
-      return discardedBytes <= MAX_DISCARDED_BYTES;
+      return true;
+    }
+    if (ensureRoomAhead()) {
+      return true;
     }
+    giveUpInput();
+    return ensureRoomAhead();
+  }
+
+  private void giveUpInput() {
+    offeringInput = true;
+    connection.giveUpInput(input.beginConsuming());
+    input.endConsuming(connection.network.budget());
+    offeringInput = false;
+  }
+
+  private boolean ensureRoomAhead() {
     return input.ensureRoomAhead(MAX_READ_AHEAD_BYTES, connection::tryAcquireInputMemory);
   }
 
@@ -138,8 +178,7 @@
     }
     input.recordArrival(byteCount, connection.nowMicros());
     if (wasReadAhead) {
-      input.append(readAheadBuffer.flip());
-      readAheadBuffer = null;
+      onReadAhead();
     }
     reading = false;
     if (connection.wantsInput()) {
@@ -154,6 +193,33 @@
     }
   }
 
+  private void onReadAhead() {
+    boolean socketDrained = readAheadBuffer.hasRemaining();
+    input.append(readAheadBuffer.flip());
+    readAheadBuffer = null;
+    boolean givenUp = connection.givesUpInput();
+    if (givenUp) {
+      giveUpInput();
+    }
+    if (givenUp || connection.discardsInput()) {
+      addUnused(InputBuffer.INITIAL_BYTES);
+    }
+    behind = !socketDrained && unusedBytes > MAX_UNPACED_BYTES;
+    nextReadAtMicros = behind ? connection.nowMicros() + PACED_READ_INTERVAL_MICROS : 0;
+    if (behind) {
+      connection.network.loop().scheduleAt(nextReadAtMicros, this::readMore);
+    } else if (givenUp && socketDrained) {
+      connection.onInputCaughtUp();
+    }
+  }
+
+  private void addUnused(int bytes) {
+    long nowMicros = connection.nowMicros();
+    long permitted = (nowMicros - unusedAtMicros) * UNPACED_BYTES_PER_SECOND / MICROS_PER_SECOND;
+    unusedBytes = Math.max(0, unusedBytes - permitted) + bytes;
+    unusedAtMicros = nowMicros;
+  }
+
   /**
    * Offers the buffered input to the connection until it consumes no more. No read starts
    * meanwhile, because it would fill the buffer while the buffer is being parsed.
--- a/gateway/src/main/java/shelffront/net/InputBuffer.java
+++ b/gateway/src/main/java/shelffront/net/InputBuffer.java
@@ -36,7 +36,7 @@
   }
 
   boolean isAtMaximum() {
-    return buffer.capacity() == maxBytes;
+    return buffer.capacity() >= maxBytes;
   }
 
   /** Bytes that are acquired from the memory budget. */
@@ -81,12 +81,10 @@
     return arrivals.readTimeMicros(consumedBytes + bytes.position());
   }
 
-  /** Discards all bytes in the buffer and returns their number. */
-  int discardAll() {
-    int discarded = buffer.position();
-    consumedBytes += discarded;
+  /** Discards all bytes in the buffer. */
+  void discardAll() {
+    consumedBytes += buffer.position();
     buffer.clear();
-    return discarded;
   }
 
   /**
@@ -99,15 +97,20 @@
 
   /**
    * Whether {@link #INITIAL_BYTES} more fit into the buffer, enlarged up to the limit if needed.
+   * The limit may exceed that of a single message.
    */
   boolean ensureRoomAhead(int limitBytes, LongPredicate acquireFromBudget) {
     return buffer.remaining() >= INITIAL_BYTES
-        || buffer.capacity() < Math.min(maxBytes, limitBytes) && tryEnlarge(acquireFromBudget);
+        || buffer.capacity() < limitBytes && tryEnlarge(limitBytes, acquireFromBudget);
   }
 
   /** Enlarges the buffer by one step; returns false if the budget does not permit it. */
   boolean tryEnlarge(LongPredicate acquireFromBudget) {
-    int newCapacityBytes = Math.min(maxBytes, buffer.capacity() * GROWTH_FACTOR);
+    return tryEnlarge(maxBytes, acquireFromBudget);
+  }
+
+  private boolean tryEnlarge(int limitBytes, LongPredicate acquireFromBudget) {
+    int newCapacityBytes = Math.min(limitBytes, buffer.capacity() * GROWTH_FACTOR);
     if (!acquireFromBudget.test(newCapacityBytes - buffer.capacity())) {
       return false;
     }
--- a/gateway/src/main/java/shelffront/pg/Message.java
+++ b/gateway/src/main/java/shelffront/pg/Message.java
@@ -50,13 +50,26 @@
    */
   public static Message readNext(ByteBuffer in, String types, int maxLength)
       throws ProtocolException {
+    int size = nextSize(in, types, maxLength);
+    if (size < 0 || in.remaining() < size) {
+      return null;
+    }
+    char type = (char) (in.get() & BYTE_MASK);
+    return new Message(type, readBody(in, size - 1));
+  }
+
+  /**
+   * Returns the size in bytes of the next message with its header, which may be incomplete, or -1
+   * if more bytes of the header are needed. Checks type and length.
+   */
+  public static int nextSize(ByteBuffer in, String types, int maxLength) throws ProtocolException {
     if (in.hasRemaining() && types.indexOf(in.get(in.position()) & BYTE_MASK) < 0) {
       throw new ProtocolException(
           SqlState.PROTOCOL_VIOLATION,
           "unknown message type " + (in.get(in.position()) & BYTE_MASK));
     }
     if (in.remaining() < HEADER_BYTES) {
-      return null;
+      return -1;
     }
     int length = in.getInt(in.position() + 1);
     if (length < LENGTH_BYTES || length >= maxLength) {
@@ -64,11 +77,7 @@
           length < LENGTH_BYTES ? SqlState.PROTOCOL_VIOLATION : SqlState.PROGRAM_LIMIT_EXCEEDED,
           "message length " + length);
     }
-    if (in.remaining() < 1 + length) {
-      return null;
-    }
-    char type = (char) (in.get() & BYTE_MASK);
-    return new Message(type, readBody(in, length));
+    return 1 + length;
   }
 
   /**
--- a/gateway/src/main/java/shelffront/request/ClientRequest.java
+++ b/gateway/src/main/java/shelffront/request/ClientRequest.java
@@ -17,6 +17,11 @@
    */
   public interface ResponseListener {
 
+    /**
+     * Whether an attempt may start: not while the client may have left without having been noticed.
+     */
+    boolean mayStartAttempt();
+
     /** Delivers the messages of the database host unchanged, up to CommandComplete. */
     void onServed(byte[] messages);
 
--- a/gateway/src/main/java/shelffront/tenant/TenantRouting.java
+++ b/gateway/src/main/java/shelffront/tenant/TenantRouting.java
@@ -155,7 +155,8 @@
 
   @Override
   public boolean mayStartAttempt(BackendAttempt attempt) {
-    return router.mayStartAttempt(context.nowMicros(), attempt.request.id, attempt.number);
+    return attempt.request.responseListener.mayStartAttempt()
+        && router.mayStartAttempt(context.nowMicros(), attempt.request.id, attempt.number);
   }
 
   @Override
@@ -174,7 +175,9 @@
     ClientRequest request = requests.get(requestId);
     BackendAttempt attempt = new BackendAttempt(request, endpointId, context.nowMicros());
     request.attempts.add(attempt);
-    if (request.completed || context.nowMicros() >= request.deadlineMicros) {
+    if (request.completed
+        || context.nowMicros() >= request.deadlineMicros
+        || !request.responseListener.mayStartAttempt()) {
       context
           .network()
           .post(() -> onAttemptEnded(attempt, BackendResponse.of(AttemptStatus.NOT_SENT)));
--- a/gateway/src/test/java/shelffront/tenant/TenantSuspensionTest.java
+++ b/gateway/src/test/java/shelffront/tenant/TenantSuspensionTest.java
@@ -44,6 +44,11 @@
 
   private final ClientRequest.ResponseListener responseListener =
       new ClientRequest.ResponseListener() {
+        @Override
+        public boolean mayStartAttempt() {
+          return true;
+        }
+
         @Override
         public void onServed(byte[] messages) {
           events.add("served");
--- a/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
+++ b/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
@@ -39,6 +39,9 @@
 
   static final int TIMEOUT_MS = 20_000;
 
+  /** More than the gateway keeps or reads at once. */
+  private static final int FLOOD_BYTES = 3 << 20;
+
   /** Requests of one pipeline; more than are parsed ahead, and than fit into one read. */
   private static final int PIPELINED_REQUESTS = 300;
 
@@ -306,6 +309,34 @@
     inForce.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Guards against requests that are begun or repeated for a client that has left behind a flood:
+   * its end is noticed late, but nothing is sent for it meanwhile.
+   */
+  @Test
+  void startsNothingForClientThatLeftBehindFlood() throws Exception {
+    EmulatedReplicaSet replicaSet = startReplicaSet("s", 1, 1);
+    replicaSet.hosts().forEach(host -> host.setSilent(true));
+    start(tenant("airport", replicaSet));
+    Client client = new Client("airport", null);
+    assertEquals(List.of(), client.answers());
+    client.send("w1", "write");
+    awaitAdmitted(1);
+    byte[] flood = new byte[FLOOD_BYTES];
+    byte[] request = query("p", "write");
+    for (int i = 0; i + request.length <= flood.length; i += request.length) {
+      System.arraycopy(request, 0, flood, i, request.length);
+    }
+    client.socket.getOutputStream().write(flood);
+    client.close();
+    replicaSet.hosts().forEach(host -> host.setSilent(false));
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TIMEOUT_MS);
+    while (counter(Counters.Name.REQUESTS_LEFT) == 0) {
+      assertTrue(System.nanoTime() < end, "the end of the client was not noticed");
+    }
+    assertTrue(!replicaSet.effects().containsKey("p"), "a request behind the first one was begun");
+  }
+
   private Client pipeliningClient(String database) throws IOException {
     Client client = new Client(database, null);
     assertEquals(List.of(), client.answers());
