Count given-up input from its first byte, not from the start of time

Cause: ConnectionReader.addUnused multiplied the time since 1970 by the rate, which overflows, where nothing had been given up before.

Change: what may be given up freely is counted only once something has been.

--- a/gateway/src/main/java/shelffront/net/ConnectionReader.java
+++ b/gateway/src/main/java/shelffront/net/ConnectionReader.java
@@ -215,8 +215,12 @@
 
   private void addUnused(int bytes) {
     long nowMicros = connection.nowMicros();
-    long permitted = (nowMicros - unusedAtMicros) * UNPACED_BYTES_PER_SECOND / MICROS_PER_SECOND;
-    unusedBytes = Math.max(0, unusedBytes - permitted) + bytes;
+    if (unusedBytes > 0) {
+      long sinceLastMicros = nowMicros - unusedAtMicros;
+      long permitted = sinceLastMicros * UNPACED_BYTES_PER_SECOND / MICROS_PER_SECOND;
+      unusedBytes = Math.max(0, unusedBytes - permitted);
+    }
+    unusedBytes += bytes;
     unusedAtMicros = nowMicros;
   }
 
