Judge a write that comes again under its id by its earlier attempts

Cause: the router forgets a request with its final response or its client's end, and "No duplicated effect" speaks of all attempts of a request. While the first is open the gateway refuses the id; after that nothing connected the two.

Change: ExecutedRequests (core) keeps the first attempt that may have run of requests that are not repeatable, for the longest deadline and window, at most 20,000. RetryPolicy judges a repeat by it: sent inside the window with the same key and set, failed otherwise, sent where all attempts are proved never to have run. Request carries the idempotency key.

Why it holds for every timing: an id is refused while an attempt is out and remembered from its outcome on. Not across processes, gateways, or a change of classes, which replaces the router.

--- a/core/src/main/java/shelffront/decision/Attempt.java
+++ b/core/src/main/java/shelffront/decision/Attempt.java
@@ -1,5 +1,6 @@
 package shelffront.decision;
 
+import shelffront.consistency.ExecutedRequests.Execution;
 import shelffront.routing.AttemptStatus;
 
 /**
@@ -39,6 +40,19 @@
     return status == null;
   }
 
+  boolean mayHaveBeenExecuted() {
+    return isOutstanding() || !status.provesNotExecuted;
+  }
+
+  /** This attempt, as what may have executed its request. */
+  Execution execution() {
+    return new Execution(
+        sentAtMicros,
+        request.request.idempotencyKey(),
+        request.request.replicaSet(),
+        endpoint.listed.zone());
+  }
+
   /** Whether the endpoint has already completed an attempt that was sent later. */
   boolean isOvertaken() {
     return sentAtMicros < endpoint.newestSuccessfulSendMicros;
--- a/core/src/main/java/shelffront/decision/AttemptAdmission.java
+++ b/core/src/main/java/shelffront/decision/AttemptAdmission.java
@@ -35,7 +35,7 @@
     return request.open
         && attempt.endpoint.assignable
         && isFreshEnough(request, attempt.endpoint)
-        && (request.firstPossiblyExecuted() == attempt || retryPolicy.mayRetry(request));
+        && (request.isOnlyPossibleExecution(attempt) || retryPolicy.mayRetry(request));
   }
 
   private boolean isOpenBeforeDeadline(PendingRequest request) {
--- a/core/src/main/java/shelffront/decision/LoadShedder.java
+++ b/core/src/main/java/shelffront/decision/LoadShedder.java
@@ -64,7 +64,7 @@
 
   private static boolean isSafeToRepeat(PendingRequest request) {
     return request.requestClass.isIdempotent()
-        || request.firstPossiblyExecuted() == null
+        || request.firstPossibleExecution() == null
         || request.requestClass.isDeduplicatedWithin(DeduplicationScope.ALL);
   }
 
--- a/core/src/main/java/shelffront/decision/PendingRequest.java
+++ b/core/src/main/java/shelffront/decision/PendingRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import shelffront.consistency.ExecutedRequests.Execution;
 import shelffront.routing.Consistency;
 import shelffront.routing.Request;
 import shelffront.routing.RequestClass;
@@ -30,6 +31,9 @@
    */
   final long sessionPositionMicros;
 
+  /** The execution of the same request, by its id, before it came again; null if none is known. */
+  final Execution earlierExecution;
+
   final ArrayList<Attempt> attempts = new ArrayList<>(2);
   boolean open = true;
   LinkedHashSet<PendingRequest> queue;
@@ -45,11 +49,13 @@
       RequestClass requestClass,
       ReplicaSet replicaSet,
       long sessionPositionMicros,
+      Execution earlierExecution,
       long nowMicros) {
     this.request = request;
     this.requestClass = requestClass;
     this.replicaSet = replicaSet;
     this.sessionPositionMicros = sessionPositionMicros;
+    this.earlierExecution = earlierExecution;
     arrivedAtMicros = nowMicros;
     deadlineMicros = arrivedAtMicros + request.timeToDeadlineMicros();
   }
@@ -74,13 +80,23 @@
   }
 
   /**
-   * Returns the first attempt that may have been executed, or null if it is certain that none was.
+   * Returns the first execution that may have taken place, or null if it is certain that there was
+   * none.
    */
-  Attempt firstPossiblyExecuted() {
-    return attempts.stream()
-        .filter(attempt -> attempt.isOutstanding() || !attempt.status.provesNotExecuted)
-        .findFirst()
-        .orElse(null);
+  Execution firstPossibleExecution() {
+    return earlierExecution != null
+        ? earlierExecution
+        : attempts.stream()
+            .filter(Attempt::mayHaveBeenExecuted)
+            .findFirst()
+            .map(Attempt::execution)
+            .orElse(null);
+  }
+
+  /** Whether this attempt is the only one that may have been executed. */
+  boolean isOnlyPossibleExecution(Attempt attempt) {
+    return earlierExecution == null
+        && attempts.stream().filter(Attempt::mayHaveBeenExecuted).allMatch(attempt::equals);
   }
 
   boolean wasSentTo(EndpointState endpoint) {
--- a/core/src/main/java/shelffront/decision/RoutingEngine.java
+++ b/core/src/main/java/shelffront/decision/RoutingEngine.java
@@ -53,6 +53,7 @@
     state.nowMicros = nowMicros;
     state.settings = settings;
     state.random = new Random(seed);
+    state.forgetExecutedRequests();
     state.healthCheckBudget =
         new HealthCheckBudget(settings.healthCheckCost(), settings.gateway().gatewayCount());
     state.typicalServiceMicros =
@@ -98,6 +99,9 @@
             requestClass,
             replicaSet,
             policies.positions.sessionPosition(request),
+            requestClass.isIdempotent()
+                ? null
+                : state.executedRequests.find(request.id(), nowMicros),
             nowMicros);
     state.pendingRequests.put(request.id(), pending);
     replicaSet.openRequests++;
@@ -126,6 +130,7 @@
     endpoint.outstandingAttempts.remove(attempt);
     keepOrCloseConnection(endpoint);
     policies.attemptOutcomes.record(attempt, outcome);
+    recordExecution(attempt);
     recordSessionWrite(attempt.request, outcome);
     completeOrRetry(attempt.request, outcome);
     policies.scheduler.dispatchQueued(attempt.request.replicaSet);
@@ -155,6 +160,14 @@
     }
   }
 
+  /** Remembers a request that must not be executed at will again, if it comes again. */
+  private void recordExecution(Attempt attempt) {
+    if (!attempt.request.requestClass.isIdempotent() && attempt.mayHaveBeenExecuted()) {
+      state.executedRequests.record(
+          attempt.request.request.id(), attempt.request.firstPossibleExecution(), state.nowMicros);
+    }
+  }
+
   /**
    * Remembers the commit position of a session's write, unless clients carry the position. Without
    * a position in the response, the current time takes its place.
--- a/core/src/main/java/shelffront/decision/RoutingState.java
+++ b/core/src/main/java/shelffront/decision/RoutingState.java
@@ -7,8 +7,10 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.function.Consumer;
+import shelffront.consistency.ExecutedRequests;
 import shelffront.consistency.SessionPositions;
 import shelffront.fleet.HealthCheckBudget;
+import shelffront.routing.RequestClass;
 import shelffront.routing.RouterActions;
 import shelffront.routing.RoutingSettings;
 import shelffront.time.TimerQueue;
@@ -23,6 +25,7 @@
 final class RoutingState {
 
   private static final int MAX_REMEMBERED_SESSIONS = 20_000;
+  private static final int MAX_REMEMBERED_REQUESTS = 20_000;
 
   /** Minimum time between two log lines; lines within it are dropped. */
   private static final long LOG_INTERVAL_MICROS = 200_000;
@@ -42,6 +45,10 @@
   final TreeMap<Integer, ReplicaSet> replicaSets = new TreeMap<>();
   final HashMap<String, PendingRequest> pendingRequests = new HashMap<>();
   final HashMap<AttemptId, Attempt> outstandingAttempts = new HashMap<>();
+
+  /** Requests that may be executed at most once, or only within a window. */
+  ExecutedRequests executedRequests;
+
   final SessionPositions sessions = new SessionPositions(MAX_REMEMBERED_SESSIONS);
 
   /** Queues of a replica set in the order in which they are served. */
@@ -67,6 +74,19 @@
     timers = new TimerQueue(atMicros -> actions.setTimer("wake", atMicros));
   }
 
+  /**
+   * Empties the store of executed requests. A client sends a request again while it waits for it,
+   * so each is kept for the longest deadline and window.
+   */
+  void forgetExecutedRequests() {
+    long retentionMicros = 0;
+    for (RequestClass each : settings.requestClasses()) {
+      retentionMicros =
+          Math.max(retentionMicros, each.deadlineMicros() + each.deduplicationWindowMicros());
+    }
+    executedRequests = new ExecutedRequests(MAX_REMEMBERED_REQUESTS, retentionMicros);
+  }
+
   /** Runs the task at the given time; it may be dropped once the request has been completed. */
   void schedule(PendingRequest request, long atMicros, Runnable task) {
     timers.schedule(atMicros, () -> request.open, task);
--- a/core/src/main/java/shelffront/routing/Request.java
+++ b/core/src/main/java/shelffront/routing/Request.java
@@ -11,6 +11,7 @@
  * @param requiredPositionMicros position of the session's last write as sent by the client, or
  *     {@link Router#UNKNOWN}
  * @param clientRetry whether the client has already sent the same request
+ * @param idempotencyKey key by which hosts recognize a repeat; null if it has none
  */
 public record Request(
     String id,
@@ -19,4 +20,26 @@
     int replicaSet,
     long timeToDeadlineMicros,
     long requiredPositionMicros,
-    boolean clientRetry) {}
+    boolean clientRetry,
+    String idempotencyKey) {
+
+  /** Creates a request without an idempotency key. */
+  public Request(
+      String id,
+      int classIndex,
+      String sessionId,
+      int replicaSet,
+      long timeToDeadlineMicros,
+      long requiredPositionMicros,
+      boolean clientRetry) {
+    this(
+        id,
+        classIndex,
+        sessionId,
+        replicaSet,
+        timeToDeadlineMicros,
+        requiredPositionMicros,
+        clientRetry,
+        null);
+  }
+}
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -384,7 +384,8 @@
             replicaSet,
             request.deadlineMicros - nowMicros,
             Math.max(requiredPositionMicros, predecessor.requiredPositionMicros(nowMicros)),
-            repeat));
+            repeat,
+            request.statement.value("k")));
   }
 
   @Override
