Count all input that is given up, release large buffers early, and bound the startup

Cause: what a full buffer gave up at once was not counted, so that a client that was caught up with began anew with 1 MB; a buffer with a few bytes left kept its size; a flood behind a startup message whose tenant is being looked up would have been rejected without a tenant; a command of which the first part was skipped did not count as incomplete, so that its connection could be evicted before its rest.

Change: each of the four. A buffer with at most 4 KiB left becomes 8 KiB, which a read ahead that is out still fits into.

--- a/gateway/src/main/java/shelffront/frontend/ClientConnection.java
+++ b/gateway/src/main/java/shelffront/frontend/ClientConnection.java
@@ -32,7 +32,7 @@
 
   private final StartupHandshake handshake = new StartupHandshake(this);
   private final CommandReader commands = new CommandReader(this);
-  private final ResponseWriter responses = new ResponseWriter(this);
+  private final ResponseWriter responses = new ResponseWriter(this, commands);
   private final ClientActivity activity;
 
   /** Target of a move in progress; set by {@link #moveTo}. */
@@ -171,7 +171,8 @@
     } catch (ProtocolException e) {
       commands.fail(e, ClientErrors.closeReasonOf(e.sqlState()));
     }
-    boolean commandBegun = activity.recordIncompleteCommand(bytes.hasRemaining() && wantsInput());
+    boolean commandBegun =
+        activity.recordIncompleteCommand(commands.isWithinCommand(bytes) && wantsInput());
     if (commandBegun && activity.hasSentCommand() && isIdle()) {
       onIdle();
     }
@@ -194,7 +195,9 @@
 
   @Override
   protected void giveUpInput(ByteBuffer bytes) {
-    commands.rejectAll(bytes);
+    if (handshake.isComplete()) {
+      commands.rejectAll(bytes);
+    }
   }
 
   @Override
@@ -345,10 +348,6 @@
     parsed.startWith(handler);
   }
 
-  boolean tryReserveResponse(int bytes) {
-    return commands.tryReserveResponse(bytes);
-  }
-
   /** Sends the final response of the request in progress. */
   void finishRequest(Counters.Name counter, byte[] messages) {
     network.counters().add(counter);
--- a/gateway/src/main/java/shelffront/frontend/CommandReader.java
+++ b/gateway/src/main/java/shelffront/frontend/CommandReader.java
@@ -169,6 +169,11 @@
     rejecting = false;
   }
 
+  /** Whether the input ends within a command, of which the first part may have been skipped. */
+  boolean isWithinCommand(ByteBuffer bytes) {
+    return bytes.hasRemaining() || bytesToSkip > 0;
+  }
+
   /** Rejects the command of which the input has no more than the first part. */
   void rejectIncomplete() {
     rejectsIncomplete = true;
--- a/gateway/src/main/java/shelffront/frontend/ResponseWriter.java
+++ b/gateway/src/main/java/shelffront/frontend/ResponseWriter.java
@@ -9,9 +9,11 @@
 final class ResponseWriter implements ClientRequest.ResponseListener {
 
   private final ClientConnection connection;
+  private final CommandReader commands;
 
-  ResponseWriter(ClientConnection connection) {
+  ResponseWriter(ClientConnection connection, CommandReader commands) {
     this.connection = connection;
+    this.commands = commands;
   }
 
   @Override
@@ -21,7 +23,7 @@
 
   @Override
   public void onServed(byte[] messages) {
-    if (!connection.tryReserveResponse(messages.length)) {
+    if (!commands.tryReserveResponse(messages.length)) {
       onFailed(); // The memory budget has no room for the value until the client reads it.
       return;
     }
--- a/gateway/src/main/java/shelffront/net/ConnectionReader.java
+++ b/gateway/src/main/java/shelffront/net/ConnectionReader.java
@@ -41,7 +41,7 @@
   /** Null while no read ahead is outstanding. */
   private ByteBuffer readAheadBuffer;
 
-  /** Bytes that were given up or discarded, less what may be in the time since. */
+  /** The value of {@link #unusedBytes()} at {@link #unusedAtMicros}. */
   private long unusedBytes;
 
   private long unusedAtMicros;
@@ -141,7 +141,7 @@
    */
   private boolean hasRoomToReadAhead() {
     if (connection.discardsInput()) {
-      input.discardAll();
+      addUnused(input.discardAll());
       inputPaused = false;
       return true;
     }
@@ -154,7 +154,10 @@
 
   private void giveUpInput() {
     offeringInput = true;
-    connection.giveUpInput(input.beginConsuming());
+    ByteBuffer bytes = input.beginConsuming();
+    int bytesBefore = bytes.remaining();
+    connection.giveUpInput(bytes);
+    addUnused(bytesBefore - bytes.remaining());
     input.endConsuming(connection.network.budget());
     offeringInput = false;
   }
@@ -201,10 +204,7 @@
     if (givenUp) {
       giveUpInput();
     }
-    if (givenUp || connection.discardsInput()) {
-      addUnused(InputBuffer.INITIAL_BYTES);
-    }
-    behind = !socketDrained && unusedBytes > MAX_UNPACED_BYTES;
+    behind = !socketDrained && unusedBytes() > MAX_UNPACED_BYTES;
     nextReadAtMicros = behind ? connection.nowMicros() + PACED_READ_INTERVAL_MICROS : 0;
     if (behind) {
       connection.network.loop().scheduleAt(nextReadAtMicros, this::readMore);
@@ -214,14 +214,18 @@
   }
 
   private void addUnused(int bytes) {
-    long nowMicros = connection.nowMicros();
-    if (unusedBytes > 0) {
-      long sinceLastMicros = nowMicros - unusedAtMicros;
-      long permitted = sinceLastMicros * UNPACED_BYTES_PER_SECOND / MICROS_PER_SECOND;
-      unusedBytes = Math.max(0, unusedBytes - permitted);
+    unusedBytes = unusedBytes() + bytes;
+    unusedAtMicros = connection.nowMicros();
+  }
+
+  /** Input that was given up or discarded, less what may be in the time since. */
+  private long unusedBytes() {
+    if (unusedBytes == 0) {
+      return 0;
     }
-    unusedBytes += bytes;
-    unusedAtMicros = nowMicros;
+    long sinceLastMicros = connection.nowMicros() - unusedAtMicros;
+    long permitted = sinceLastMicros * UNPACED_BYTES_PER_SECOND / MICROS_PER_SECOND;
+    return Math.max(0, unusedBytes - permitted);
   }
 
   /**
--- a/gateway/src/main/java/shelffront/net/InputBuffer.java
+++ b/gateway/src/main/java/shelffront/net/InputBuffer.java
@@ -59,17 +59,21 @@
     return buffer.flip();
   }
 
-  /** Keeps unconsumed bytes; an empty buffer returns to its initial size. */
+  /**
+   * Keeps unconsumed bytes. A buffer that is empty, or has few bytes left, becomes small again;
+   * {@link #INITIAL_BYTES} more fit into it, since a read ahead may be outstanding.
+   */
   void endConsuming(ResourceBudget budget) {
     consumedBytes += buffer.position();
     buffer.compact();
-    if (buffer.position() > 0) {
-      return;
+    int leftBytes = buffer.position();
+    if (leftBytes == 0) {
+      arrivals.clear();
     }
-    arrivals.clear();
-    if (buffer.capacity() > INITIAL_BYTES) {
-      budget.release(budgetedBytes());
-      buffer = ByteBuffer.allocate(INITIAL_BYTES);
+    int smallBytes = leftBytes == 0 ? INITIAL_BYTES : 2 * INITIAL_BYTES;
+    if (leftBytes <= INITIAL_BYTES && buffer.capacity() > smallBytes) {
+      budget.release(buffer.capacity() - smallBytes);
+      buffer = ByteBuffer.allocate(smallBytes).put(buffer.flip());
     }
   }
 
@@ -81,10 +85,12 @@
     return arrivals.readTimeMicros(consumedBytes + bytes.position());
   }
 
-  /** Discards all bytes in the buffer. */
-  void discardAll() {
-    consumedBytes += buffer.position();
+  /** Discards all bytes in the buffer and returns their number. */
+  int discardAll() {
+    int discarded = buffer.position();
+    consumedBytes += discarded;
     buffer.clear();
+    return discarded;
   }
 
   /**
