State once what tells a host's role, as of when, and which word wins

Cause: the role was kept with the entry of the host. On related paths: a response counted as of its arrival, so that one long under way could restore a former primary; a removed host could become the primary; a host's late response was judged by the object of its old entry.

Change: core/consistency/ReplicaSetRoles, one for each set and independent of entries, states the rule; RoleReport states what a message proves, and as of which interval. A host may serve unchecked reads once it is proved to have been primary later than any report of it as a replica, or of another primary, can refer to. Where the order is not proved, the host is a replica. The list directs writes and is trusted only while no report can have been missed. The primary stays known through a drain or a removal, so that one that restarts serves at once. Memory: one number a listed host and one name a set.

--- a/core/src/main/java/shelffront/decision/AttemptAdmission.java
+++ b/core/src/main/java/shelffront/decision/AttemptAdmission.java
@@ -48,13 +48,13 @@
 
   /**
    * Whether the endpoint has applied enough of the log to serve the request. The primary may serve
-   * any request. A replica may serve a read if the class is eventually consistent, if it has
-   * applied the required position, or if it checks its own lag. Writes are exempt, because a
-   * replica rejects them without executing them.
+   * any request, if its role is trusted. A replica may serve a read if the class is eventually
+   * consistent, if it has applied the required position, or if it checks its own lag. Writes are
+   * exempt, because a replica rejects them without executing them.
    */
   boolean isFreshEnough(PendingRequest request, EndpointState endpoint) {
     Consistency consistency = request.requestClass.consistency();
-    if (endpoint == request.replicaSet.primary
+    if (request.replicaSet.isTrustedPrimary(endpoint)
         || consistency == Consistency.EVENTUAL
         || consistency == Consistency.WRITE) {
       return true;
--- a/core/src/main/java/shelffront/decision/EndpointRegistry.java
+++ b/core/src/main/java/shelffront/decision/EndpointRegistry.java
@@ -13,7 +13,7 @@
  * <p>Invariant: an endpoint belongs to one replica set only, the one under which the list named it
  * last.
  */
-record EndpointRegistry(RoutingState state, HealthChecker healthChecker) {
+record EndpointRegistry(RoutingState state, RoleTracker roleTracker, HealthChecker healthChecker) {
 
   /** Initial limit of concurrent attempts at an endpoint, summed over all gateways. */
   private static final double INITIAL_FLEET_CONCURRENCY = 24;
@@ -70,20 +70,12 @@
     }
   }
 
-  /**
-   * Adds the endpoint to the replica set. A primary named by the list is used only until an
-   * endpoint reports its own role.
-   */
-  private static void join(ReplicaSet replicaSet, EndpointState endpoint) {
+  private void join(ReplicaSet replicaSet, EndpointState endpoint) {
     endpoint.replicaSet = replicaSet;
     replicaSet.listed = true;
     replicaSet.endpoints.put(endpoint.id, endpoint);
-    if (endpoint.listed.listedAsPrimary()
-        && replicaSet.primary == null
-        && replicaSet.primaryKnownAtMicros == UNKNOWN) {
-      replicaSet.primary = endpoint;
-    }
     replicaSet.preferredReplicas = null;
+    roleTracker.recordListed(endpoint);
   }
 
   /**
@@ -97,13 +89,13 @@
     }
     ReplicaSet replicaSet = endpoint.replicaSet;
     endpoint.assignable = false;
+    replicaSet.preferredReplicas = null;
     if (removed) {
       state.endpoints.remove(endpoint.id);
       replicaSet.endpoints.remove(endpoint.id);
-    }
-    replicaSet.preferredReplicas = null;
-    if (endpoint.isPrimary()) {
-      replicaSet.primary = null;
+      roleTracker.recordRemoved(endpoint);
+    } else {
+      roleTracker.recordWithdrawn(endpoint);
     }
   }
 }
--- a/core/src/main/java/shelffront/decision/HealthCheckOutcomes.java
+++ b/core/src/main/java/shelffront/decision/HealthCheckOutcomes.java
@@ -6,7 +6,7 @@
 /** Updates an endpoint's health, position and role from the outcomes of its health checks. */
 record HealthCheckOutcomes(
     RoutingState state,
-    ReplicaPositions positions,
+    EndpointReports reports,
     EndpointEjection ejection,
     ConnectionFailures connectionFailures) {
 
@@ -20,7 +20,9 @@
   void record(EndpointState endpoint, AttemptStatus status, LoadReport loadReport) {
     boolean succeeded = status == AttemptStatus.OK;
     endpoint.healthCheckPending = false;
-    positions.recordLoadReport(endpoint, succeeded ? loadReport : null);
+    if (succeeded) {
+      reports.recordHealthCheck(endpoint, loadReport);
+    }
     if (succeeded && endpoint.healthCheckFailed) {
       ejection.readmit(endpoint);
     } else if (succeeded && !endpoint.isEjected(state.nowMicros)) {
--- a/core/src/main/java/shelffront/decision/HealthCheckScheduler.java
+++ b/core/src/main/java/shelffront/decision/HealthCheckScheduler.java
@@ -18,10 +18,10 @@
   private static final int MAX_OUTSTANDING_CHECKS = 2;
 
   /**
-   * Checks endpoints whose reports are outdated. The primary is checked only while it is missing,
-   * and first, because requests that require it have no alternative; preferred replicas come before
-   * the others. While no healthy primary is known, recent position reports do not defer a check,
-   * because the question is which endpoints are alive.
+   * Checks endpoints whose reports are outdated. The primary is checked only while it is missing or
+   * its role is not trusted, and first, because requests that require it have no alternative;
+   * preferred replicas come before the others. While no healthy primary is known, recent position
+   * reports do not defer a check, because the question is which endpoints are alive.
    */
   void checkForQueuedRequests(ReplicaSet replicaSet) {
     boolean primaryMissing = isPrimaryMissing(replicaSet);
@@ -39,7 +39,10 @@
 
   private boolean isPrimaryMissing(ReplicaSet replicaSet) {
     EndpointState primary = replicaSet.primary;
-    return primary == null || primary.isEjected(state.nowMicros) || primary.onProbation;
+    return primary == null
+        || !replicaSet.isTrustedPrimary(primary)
+        || primary.isEjected(state.nowMicros)
+        || primary.onProbation;
   }
 
   private List<EndpointState> dueEndpoints(ReplicaSet replicaSet, boolean primaryMissing) {
--- a/core/src/main/java/shelffront/decision/ReplicaPositions.java
+++ b/core/src/main/java/shelffront/decision/ReplicaPositions.java
@@ -6,11 +6,10 @@
 import shelffront.routing.LagCheck;
 import shelffront.routing.LoadReport;
 import shelffront.routing.Request;
-import shelffront.routing.Role;
 
 /**
- * Tracks the log positions and roles that load reports and responses prove, and determines the
- * position that a session read must see. Positions and times are microseconds on one clock.
+ * Tracks the log positions that load reports and responses prove, and determines the position that
+ * a session read must see. Positions and times are microseconds on one clock.
  */
 record ReplicaPositions(RoutingState state) {
 
@@ -49,49 +48,11 @@
         state.nowMicros, requiredPositionMicros, toleratedLagMicros);
   }
 
-  /**
-   * Records the role that an endpoint reported. Ignores a report that is older than the latest one
-   * about the primary of the replica set, or that changes nothing, because roles change while
-   * messages are in transit.
-   *
-   * @param asOfMicros time at which the endpoint had the role
-   */
-  void recordRole(EndpointState endpoint, Role role, long asOfMicros) {
-    ReplicaSet replicaSet = endpoint.replicaSet;
-    boolean knownAsPrimary = replicaSet.primary == endpoint;
-    if (asOfMicros < replicaSet.primaryKnownAtMicros
-        || role == Role.UNKNOWN
-        || knownAsPrimary == (role == Role.PRIMARY)) {
-      return;
-    }
-    if (role == Role.PRIMARY) {
-      changePrimary(replicaSet, endpoint, asOfMicros);
-      replicaSet.lastSearchedId = "";
-      state.logRateLimited(
-          "primary of group " + endpoint.listed.replicaSet() + " is " + endpoint.id);
-    } else {
-      changePrimary(replicaSet, null, asOfMicros);
-      replicaSet.lastSearchedId = endpoint.id;
-      state.logRateLimited("group " + endpoint.listed.replicaSet() + " has no known primary");
-    }
-  }
-
-  private static void changePrimary(ReplicaSet replicaSet, EndpointState primary, long asOfMicros) {
-    replicaSet.primary = primary;
-    replicaSet.preferredReplicas = null;
-    replicaSet.primaryKnownAtMicros = asOfMicros;
-  }
-
-  /**
-   * Records an endpoint's load report; null is ignored. The role in a report without a position is
-   * ignored too, because a host that has not made a report yet responds with zeros.
-   */
+  /** Records the position in an endpoint's load report; null is ignored. */
   void recordLoadReport(EndpointState endpoint, LoadReport loadReport) {
-    if (loadReport == null || loadReport.positionMicros() == UNKNOWN) {
-      return;
+    if (loadReport != null && loadReport.positionMicros() != UNKNOWN) {
+      endpoint.progress.advance(state.nowMicros, loadReport.positionMicros());
     }
-    endpoint.progress.advance(state.nowMicros, loadReport.positionMicros());
-    recordRole(endpoint, loadReport.role(), Math.min(loadReport.positionMicros(), state.nowMicros));
   }
 
   /**
--- a/core/src/main/java/shelffront/decision/ReplicaSet.java
+++ b/core/src/main/java/shelffront/decision/ReplicaSet.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.TreeMap;
 import java.util.stream.Stream;
+import shelffront.consistency.ReplicaSetRoles;
 import shelffront.fleet.SlowStartBudget;
 import shelffront.statistics.DecayingAverage;
 
@@ -29,10 +30,11 @@
   /** Ids of the replicas that this gateway prefers; null if they have to be recomputed. */
   List<String> preferredReplicas;
 
-  EndpointState primary;
+  /** What is known of the roles of the set's endpoints; changed by {@link RoleTracker} only. */
+  final ReplicaSetRoles roles = new ReplicaSetRoles();
 
-  /** Time as of which the latest message about the primary's role holds. */
-  long primaryKnownAtMicros = UNKNOWN;
+  /** The presumed primary, or null if none is known or it is not assignable. */
+  EndpointState primary;
 
   /**
    * Id of the endpoint that the search for the primary tried last, or that lost the role; the
@@ -70,6 +72,11 @@
     return (key.late() ? lateQueues : queues).get(key.classIndex());
   }
 
+  /** Whether the endpoint is the primary, and may serve reads that no position proves fresh. */
+  boolean isTrustedPrimary(EndpointState endpoint) {
+    return endpoint == primary && roles.isPrimaryTrusted();
+  }
+
   boolean hasQueuedRequests() {
     return Stream.concat(queues.stream(), lateQueues.stream()).anyMatch(queue -> !queue.isEmpty());
   }
--- a/core/src/main/java/shelffront/decision/RoutingEngine.java
+++ b/core/src/main/java/shelffront/decision/RoutingEngine.java
@@ -11,7 +11,7 @@
 import shelffront.routing.LoadReport;
 import shelffront.routing.Request;
 import shelffront.routing.RequestClass;
-import shelffront.routing.Role;
+import shelffront.routing.RoleReport;
 import shelffront.routing.Router;
 import shelffront.routing.RouterActions;
 import shelffront.routing.RoutingSettings;
@@ -121,7 +121,7 @@
     EndpointState endpoint =
         attempt != null ? attempt.endpoint : state.endpoints.get(outcome.endpointId());
     if (endpoint != null) {
-      recordReplication(endpoint, outcome);
+      policies.reports.recordResponse(endpoint, attempt, outcome);
     }
     if (attempt == null) {
       return;
@@ -136,18 +136,6 @@
     policies.scheduler.dispatchQueued(attempt.request.replicaSet);
   }
 
-  /** Records the position and role that the response reported for its host. */
-  private void recordReplication(EndpointState endpoint, AttemptOutcome outcome) {
-    policies.positions.recordLoadReport(endpoint, outcome.loadReport());
-    policies.positions.recordRole(endpoint, outcome.role(), state.nowMicros);
-    if (outcome.positionMicros() != UNKNOWN && outcome.role() != Role.UNKNOWN) {
-      endpoint.progress.advance(state.nowMicros, outcome.positionMicros());
-    }
-    if (outcome.status() == AttemptStatus.REPLICA_UNSUITABLE) {
-      endpoint.progress.recordRejectedRead(state.nowMicros);
-    }
-  }
-
   /** Keeps the attempt's connection as idle, unless the endpoint's connections are scarce. */
   private void keepOrCloseConnection(EndpointState endpoint) {
     boolean scarce = state.nowMicros < endpoint.connectionsScarceUntilMicros;
@@ -221,6 +209,18 @@
     }
   }
 
+  @Override
+  public void onRoleReportsMissed(long nowMicros) {
+    state.nowMicros = nowMicros;
+    policies.reports.recordMissedReports();
+  }
+
+  @Override
+  public void onPredecessorReport(long nowMicros, String endpointId, RoleReport report) {
+    state.nowMicros = nowMicros;
+    policies.reports.recordPredecessorReport(endpointId, report);
+  }
+
   @Override
   public void onPeerMessage(long nowMicros, int gatewayIndex, byte[] payload) {
     state.nowMicros = nowMicros;
--- a/core/src/main/java/shelffront/decision/RoutingPolicies.java
+++ b/core/src/main/java/shelffront/decision/RoutingPolicies.java
@@ -9,6 +9,7 @@
 final class RoutingPolicies {
 
   final ReplicaPositions positions;
+  final EndpointReports reports;
   final EndpointRegistry registry;
   final EndpointListBackoff listBackoff;
   final SlowStartAdmission slowStartAdmission;
@@ -23,8 +24,10 @@
 
   RoutingPolicies(RoutingState state) {
     positions = new ReplicaPositions(state);
+    RoleTracker roleTracker = new RoleTracker(state);
+    reports = new EndpointReports(state, positions, roleTracker);
     HealthChecker healthChecker = new HealthChecker(state);
-    registry = new EndpointRegistry(state, healthChecker);
+    registry = new EndpointRegistry(state, roleTracker, healthChecker);
     listBackoff = new EndpointListBackoff(state);
     slowStartAdmission = new SlowStartAdmission(state);
     RetryPolicy retryPolicy = new RetryPolicy(state);
@@ -40,7 +43,7 @@
     ConnectionFailures connections = new ConnectionFailures(state, ejection, healthChecker);
     attemptOutcomes =
         new AttemptOutcomes(state, positions, slowdown, capacity, ejection, connections);
-    healthCheckOutcomes = new HealthCheckOutcomes(state, positions, ejection, connections);
+    healthCheckOutcomes = new HealthCheckOutcomes(state, reports, ejection, connections);
 
     PreferredReplicas preferred = new PreferredReplicas(state, healthChecker);
     healthChecks = new HealthCheckScheduler(state, preferred, healthChecker);
--- a/core/src/main/java/shelffront/decision/RoutingState.java
+++ b/core/src/main/java/shelffront/decision/RoutingState.java
@@ -43,6 +43,16 @@
   long nowMicros;
   final TreeMap<String, EndpointState> endpoints = new TreeMap<>();
   final TreeMap<Integer, ReplicaSet> replicaSets = new TreeMap<>();
+
+  /** The replica sets whose presumed primary is known, by the id of that endpoint. */
+  final HashMap<String, ReplicaSet> primarySets = new HashMap<>();
+
+  /**
+   * Whether reports about roles may have been missed, or forgotten with an endpoint that was
+   * removed, so that an endpoint which joins may have reported to be a replica.
+   */
+  boolean roleReportsMissed;
+
   final HashMap<String, PendingRequest> pendingRequests = new HashMap<>();
   final HashMap<AttemptId, Attempt> outstandingAttempts = new HashMap<>();
 
--- a/core/src/main/java/shelffront/routing/Router.java
+++ b/core/src/main/java/shelffront/routing/Router.java
@@ -65,6 +65,20 @@
       long elapsedMicros,
       LoadReport loadReport);
 
+  /**
+   * Reports that hosts may have reported their roles until now without this router being told:
+   * because another router of the same tenant received the reports, or because the tenant was
+   * suspended. What the module knows or is listed is then no reason to send unchecked reads to a
+   * host, until that proves its role again.
+   */
+  void onRoleReportsMissed(long nowMicros);
+
+  /**
+   * Reports what another router of the same tenant, which completes its open requests, has received
+   * about the role of an endpoint.
+   */
+  void onPredecessorReport(long nowMicros, String endpointId, RoleReport report);
+
   /** Reports a message from another gateway of the fleet. */
   void onPeerMessage(long nowMicros, int gatewayIndex, byte[] payload);
 
--- /dev/null
+++ b/core/src/test/java/shelffront/decision/FormerPrimaryTest.java
@@ -0,0 +1,129 @@
+package shelffront.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static shelffront.decision.RoutingTestHarness.MS;
+import static shelffront.decision.RoutingTestHarness.NON_IDEMPOTENT_WRITE;
+import static shelffront.decision.RoutingTestHarness.STRONG_READ;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import shelffront.routing.AttemptStatus;
+import shelffront.routing.Availability;
+import shelffront.routing.Endpoint;
+import shelffront.routing.Role;
+import shelffront.routing.RoleReport;
+import shelffront.routing.Router;
+
+/** Tests a primary, listed as that from the start, which drains, ends and returns. */
+class FormerPrimaryTest {
+
+  private final RoutingTestHarness harness = new RoutingTestHarness();
+
+  @BeforeEach
+  void start() {
+    harness.startWithoutReports();
+    list(Availability.READY);
+    harness.updateEndpoints(RoutingTestHarness.endpoint("m2", 0, Availability.READY));
+    harness.newActions();
+  }
+
+  private void list(Availability availability) {
+    harness.updateEndpoints(new Endpoint("m1", "kind", "z1", 1, 1, 0, true, availability));
+  }
+
+  private void drainAndReturn() {
+    list(Availability.DRAINING);
+    harness.advanceTime(600 * MS);
+    list(Availability.REMOVED);
+    harness.advanceTime(2500 * MS);
+    list(Availability.READY);
+  }
+
+  /** Guards against reads from a host that told while it drained that it is a replica. */
+  @Test
+  void sendsNoReadToFormerPrimaryThatReturns() {
+    harness.request("held", NON_IDEMPOTENT_WRITE);
+    list(Availability.DRAINING);
+    harness.advanceTime(600 * MS);
+    harness.outcome("held", 0, "m1", AttemptStatus.ERROR, Role.REPLICA);
+    list(Availability.REMOVED);
+    harness.advanceTime(2500 * MS);
+    list(Availability.READY);
+    harness.newActions();
+    harness.request("a", STRONG_READ);
+    harness.advanceTime(100 * MS);
+    assertEquals(List.of(), harness.newActions());
+  }
+
+  /** Guards against the same if the response arrives only after the host is listed anew. */
+  @Test
+  void sendsNoReadToFormerPrimaryWhoseResponseArrivesAfterItsReturn() {
+    harness.request("held", NON_IDEMPOTENT_WRITE);
+    drainAndReturn();
+    harness.outcome("held", 0, "m1", AttemptStatus.ERROR, Role.REPLICA);
+    harness.newActions();
+    harness.request("a", STRONG_READ);
+    harness.advanceTime(100 * MS);
+    assertEquals(List.of(), harness.newActions());
+  }
+
+  /** Guards against a primary that restarts as the primary and is not used at once. */
+  @Test
+  void sendsReadsToRestartedPrimaryAtOnce() {
+    harness.answerHealthCheck("m1", Role.PRIMARY, harness.nowMicros);
+    drainAndReturn();
+    harness.newActions();
+    harness.request("a", STRONG_READ);
+    assertEquals(List.of("send a m1"), harness.newActions());
+  }
+
+  /** Guards against trust in the list by a router that other routers precede. */
+  @Test
+  void asksListedPrimaryForItsRoleIfReportsWereMissed() {
+    harness.router.onRoleReportsMissed(harness.nowMicros);
+    harness.request("w", NON_IDEMPOTENT_WRITE);
+    assertEquals(List.of("send w m1"), harness.newActions(), "a replica rejects a write");
+    harness.answerHealthCheck("m1", Role.UNKNOWN, Router.UNKNOWN);
+    harness.advanceTime(200 * MS);
+    long checks = harness.healthChecksOf("m1");
+    harness.request("a", STRONG_READ);
+    assertEquals(List.of(), harness.newActions());
+    assertTrue(harness.healthChecksOf("m1") > checks, "the read waits for the role");
+    harness.answerHealthCheck("m1", Role.PRIMARY, harness.nowMicros);
+    assertEquals(List.of("send a m1"), harness.newActions());
+  }
+
+  /** Guards against reads from a host that told another router of the tenant its role. */
+  @Test
+  void sendsNoReadToHostThatToldPredecessorThatItIsReplica() {
+    harness.answerHealthCheck("m1", Role.PRIMARY, harness.nowMicros);
+    harness.advanceTime(10 * MS);
+    harness.router.onPredecessorReport(
+        harness.nowMicros,
+        "m2",
+        new RoleReport(Role.PRIMARY, harness.nowMicros, harness.nowMicros));
+    harness.newActions();
+    harness.request("a", STRONG_READ);
+    assertEquals(List.of("send a m1"), harness.newActions(), "m2 may be another host");
+    harness.router.onPredecessorReport(
+        harness.nowMicros,
+        "m1",
+        new RoleReport(Role.REPLICA, harness.nowMicros, harness.nowMicros));
+    harness.request("b", STRONG_READ);
+    assertEquals(List.of(), harness.newActions());
+  }
+
+  /** Guards against a response that states no role but shows one by its status. */
+  @Test
+  void takesRoleFromStatusOfResponse() {
+    harness.answerHealthCheck("m1", Role.PRIMARY, harness.nowMicros);
+    harness.request("w", NON_IDEMPOTENT_WRITE);
+    harness.outcome("w", 0, "m1", AttemptStatus.REPLICA_UNSUITABLE, Role.UNKNOWN);
+    assertEquals(List.of("send w m1", "send w m2"), harness.newActions());
+    harness.outcome("w", 1, "m2", AttemptStatus.OK, Role.UNKNOWN);
+    harness.request("a", STRONG_READ);
+    assertEquals(List.of("send a m2"), harness.newActions());
+  }
+}
