Pass a tenant's role reports on to the router that replaces its own

Callers saw: a strongly consistent read after a change of a tenant's classes was run on a former primary that had ended a held write as a replica, after that answer had reached its client.

Cause: each router knows what it was told itself. A change of classes, and the move of a tenant to another event loop, give the tenant a new router, while the old one completes its open requests and receives their responses; what they told of roles ended there. A new router, and one that had been suspended, also believed the list.

Change: the tenant's registry links a router to the one it replaces; each report as a replica that the old one receives goes to the new one, over loops too. A proof that a host is primary is not passed on, because the replaced tenant may have had another host of the same id. A router that follows others, or was suspended, trusts a primary only once that has proved its role anew; writes go to the listed one at once, and a read that needs the primary asks it first.

The lab's hosts can cancel a drain for it. The forwarding between loops when a tenant moves has no test of its own.

--- a/gateway/src/main/java/shelffront/multitenant/EventLoopGroup.java
+++ b/gateway/src/main/java/shelffront/multitenant/EventLoopGroup.java
@@ -318,9 +318,25 @@
     runOn(newLoopIndex, () -> migrated.complete(newRegistry.migrateIn(spec)));
     runOn(
         oldLoopIndex,
-        () ->
-            oldRegistry.remove(
-                spec.id(), atMicros -> migrated.thenAccept(task -> loop(newLoopIndex).post(task))));
+        () -> {
+          forwardRoleReports(spec.id(), oldRegistry, newLoopIndex);
+          oldRegistry.remove(
+              spec.id(), atMicros -> migrated.thenAccept(task -> loop(newLoopIndex).post(task)));
+        });
+  }
+
+  /**
+   * Passes what hosts tell the router of a tenant about their roles to its new loop. Reports that
+   * came before this call may have been missed there. Runs on the loop of that router.
+   */
+  private void forwardRoleReports(String id, TenantRegistry oldRegistry, int newLoopIndex) {
+    EventLoop newLoop = loop(newLoopIndex);
+    TenantRegistry newRegistry = members.get(newLoopIndex).tenants();
+    oldRegistry.forwardRoleReports(
+        id,
+        (endpointId, report) ->
+            newLoop.post(() -> newRegistry.onPredecessorReport(id, endpointId, report)));
+    newLoop.post(() -> newRegistry.onRoleReportsMissed(id));
   }
 
   @Override
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -18,6 +18,7 @@
 import shelffront.request.ClientRequest;
 import shelffront.routing.Request;
 import shelffront.routing.RequestClass;
+import shelffront.routing.RoleReport;
 import shelffront.time.ShutdownSchedule;
 
 /**
@@ -46,12 +47,10 @@
   private final ConnectionQuotas hostConnectionQuotas;
   private final RequestAdmission admission;
   private final OpenRequests requests;
-  private final PredecessorTracker predecessor = new PredecessorTracker();
+  private final TenantSuccession succession = new TenantSuccession();
   private final Set<ClientHandle> clients = new LinkedHashSet<>();
   private TenantRouting routing; // null until the first client connects
   private Deadline suspension;
-  private Runnable removalCallback;
-  private boolean removalComplete; // all resources are released
 
   /** Current resource usage of a tenant, and its event counters since the start. */
   public record Usage(
@@ -98,21 +97,27 @@
         context.network().counters().values());
   }
 
-  // ---- Predecessor
+  // ---- Succession
+
+  TenantSuccession succession() {
+    return succession;
+  }
 
   /**
-   * Records that another router of this tenant may still accept writes, so that session reads cover
-   * those writes until {@link #predecessorEnded} and afterwards.
+   * Reports what a host has told the predecessor about its role. A router that starts later needs
+   * no report from before its start.
    */
-  void predecessorStarted() {
-    predecessor.begin();
+  void onPredecessorReport(String endpointId, RoleReport report) {
+    succession.report(endpointId, report);
+    if (routing != null) {
+      routing.onPredecessorReport(endpointId, report);
+    }
   }
 
-  /** Records that the predecessor has ended; completes a removal that was waiting for that. */
-  void predecessorEnded() {
-    predecessor.end(context.nowMicros());
-    if (removalComplete) {
-      removalCallback.run();
+  /** Reports that the predecessor may have received role reports that were not passed on. */
+  void onRoleReportsMissed() {
+    if (routing != null) {
+      routing.onRoleReportsMissed();
     }
   }
 
@@ -128,8 +133,8 @@
     }
     context.setState(TenantState.ACTIVE);
     if (routing == null) {
-      routing = new TenantRouting(context, requests, hostConnectionQuotas);
-      routing.start(seed);
+      routing = new TenantRouting(context, requests, hostConnectionQuotas, succession::report);
+      routing.start(seed, succession.hasPredecessor());
     } else {
       routing.resume();
     }
@@ -143,6 +148,7 @@
       return;
     }
     routing.endpoints().removeEndpointsFromRouter();
+    routing.onRoleReportsMissed();
     // The state must change before the connections are closed, because only then are the actions
     // ignored with which the router reacts to their closing.
     context.setState(TenantState.SUSPENDED);
@@ -242,7 +248,7 @@
     if (context.state().isEnding()) {
       return;
     }
-    removalCallback = onRemoved;
+    succession.onRemoved(onRemoved);
     if (routing == null) {
       context.setState(TenantState.REMOVED);
       completeRemoval();
@@ -284,12 +290,7 @@
 
   private void completeRemoval() {
     admission.unregister();
-    removalComplete = true;
-    // While the predecessor is active, the callback waits for its end. Otherwise a successor would
-    // wait for this tenant but not for the predecessor.
-    if (!predecessor.isRunning()) {
-      removalCallback.run();
-    }
+    succession.removalCompleted();
   }
 
   private static ProtocolException removalError() {
@@ -383,7 +384,7 @@
             session,
             replicaSet,
             request.deadlineMicros - nowMicros,
-            Math.max(requiredPositionMicros, predecessor.requiredPositionMicros(nowMicros)),
+            Math.max(requiredPositionMicros, succession.requiredPositionMicros(nowMicros)),
             repeat,
             request.statement.value("k")));
   }
--- a/gateway/src/main/java/shelffront/tenant/TenantRegistry.java
+++ b/gateway/src/main/java/shelffront/tenant/TenantRegistry.java
@@ -15,6 +15,7 @@
 import shelffront.quota.ConnectionQuotas;
 import shelffront.quota.DeficitRoundRobin.Flow;
 import shelffront.quota.TenantQuotas;
+import shelffront.routing.RoleReport;
 import shelffront.time.ShutdownSchedule;
 
 /**
@@ -87,18 +88,23 @@
    * the same id, which may still be draining here or is gone.
    */
   private void linkPredecessor(Tenant next) {
-    next.predecessorStarted();
+    next.succession().predecessorStarted();
     Tenant predecessor = null;
     for (Tenant each : draining.keySet()) {
       predecessor = each.spec().id().equals(next.spec().id()) ? each : predecessor;
     }
     if (predecessor == null) {
-      next.predecessorEnded();
+      predecessorEnded(next);
     } else {
-      draining.get(predecessor).add(next::predecessorEnded);
+      draining.get(predecessor).add(() -> predecessorEnded(next));
+      predecessor.succession().forwardRoleReports(next::onPredecessorReport);
     }
   }
 
+  private void predecessorEnded(Tenant tenant) {
+    tenant.succession().predecessorEnded(network.loop().nowMicros());
+  }
+
   /**
    * Adds a tenant that another event loop has served. Session reads cover the writes accepted there
    * until the returned task has run, and afterwards.
@@ -108,8 +114,35 @@
   public Runnable migrateIn(TenantSpec spec) {
     apply(spec, atMicros -> {});
     Tenant migrated = tenants.get(spec.id());
-    migrated.predecessorStarted();
-    return migrated::predecessorEnded;
+    migrated.succession().predecessorStarted();
+    return () -> predecessorEnded(migrated);
+  }
+
+  /**
+   * Passes what hosts report to a tenant from now on about their roles to the listener, until the
+   * tenant has been removed. Does nothing if there is no tenant with this id.
+   */
+  public void forwardRoleReports(String id, RoleReportListener listener) {
+    Tenant tenant = tenants.get(id);
+    if (tenant != null) {
+      tenant.succession().forwardRoleReports(listener);
+    }
+  }
+
+  /** Reports what a host has told the router of this tenant on another loop about its role. */
+  public void onPredecessorReport(String id, String endpointId, RoleReport report) {
+    Tenant tenant = tenants.get(id);
+    if (tenant != null) {
+      tenant.onPredecessorReport(endpointId, report);
+    }
+  }
+
+  /** Reports that another loop may have received role reports that it has not forwarded. */
+  public void onRoleReportsMissed(String id) {
+    Tenant tenant = tenants.get(id);
+    if (tenant != null) {
+      tenant.onRoleReportsMissed();
+    }
   }
 
   /** Whether a tenant has no client on this event loop. */
--- a/gateway/src/main/java/shelffront/tenant/TenantRouting.java
+++ b/gateway/src/main/java/shelffront/tenant/TenantRouting.java
@@ -12,6 +12,7 @@
 import shelffront.routing.AttemptOutcome;
 import shelffront.routing.AttemptStatus;
 import shelffront.routing.Request;
+import shelffront.routing.RoleReport;
 import shelffront.routing.Router;
 import shelffront.routing.RouterActions;
 
@@ -28,13 +29,18 @@
   private final Router router;
   private final BackendConnections backends;
   private final TenantEndpoints endpoints;
+  private final RoleReportListener roleReports;
   private Deadline timer;
   private long timerAtMicros; // 0 if no timer is set; kept while the tenant is suspended
 
   TenantRouting(
-      TenantContext context, OpenRequests requests, ConnectionQuotas hostConnectionQuotas) {
+      TenantContext context,
+      OpenRequests requests,
+      ConnectionQuotas hostConnectionQuotas,
+      RoleReportListener roleReports) {
     this.context = context;
     this.requests = requests;
+    this.roleReports = roleReports;
     TenantSpec spec = context.spec();
     router = new RoutingEngine(this);
     backends =
@@ -55,9 +61,17 @@
 
   // ---- Lifecycle
 
-  void start(long seed) {
+  /**
+   * Starts the router with the last known endpoint list.
+   *
+   * @param hasPredecessor whether another router of the tenant may have received role reports
+   */
+  void start(long seed, boolean hasPredecessor) {
     endpoints.start();
     router.onStart(context.nowMicros(), seed, context.spec().settings());
+    if (hasPredecessor) {
+      onRoleReportsMissed();
+    }
     endpoints.watchPushedList();
     endpoints.postCachedList();
   }
@@ -106,6 +120,16 @@
     router.onClientDisconnected(context.nowMicros(), requestId);
   }
 
+  // ---- From other routers
+
+  void onPredecessorReport(String endpointId, RoleReport report) {
+    router.onPredecessorReport(context.nowMicros(), endpointId, report);
+  }
+
+  void onRoleReportsMissed() {
+    router.onRoleReportsMissed(context.nowMicros());
+  }
+
   // ---- From hosts
 
   @Override
@@ -120,8 +144,7 @@
     // Measured from the time the request was sent. The wait for a connection is excluded because it
     // may be caused by this process, in its first seconds, rather than by a slow host.
     long elapsedMicros = context.nowMicros() - attempt.sentAtMicros;
-    router.onAttemptOutcome(
-        context.nowMicros(),
+    AttemptOutcome outcome =
         new AttemptOutcome(
             request.id,
             attempt.number,
@@ -131,7 +154,11 @@
             elapsedMicros,
             response.role(),
             response.positionMicros(),
-            response.loadReport()));
+            response.loadReport());
+    router.onAttemptOutcome(context.nowMicros(), outcome);
+    roleReports.onRoleReport(
+        attempt.endpointId,
+        RoleReport.ofResponse(outcome, false, Router.UNKNOWN, context.nowMicros()));
     requests.removeIfFinished(request);
   }
 
@@ -166,6 +193,8 @@
     }
     router.onHealthCheckResult(
         context.nowMicros(), endpointId, response.status(), elapsedMicros, response.loadReport());
+    roleReports.onRoleReport(
+        endpointId, RoleReport.ofLoadReport(response.loadReport(), context.nowMicros()));
   }
 
   // ---- Actions of the router
--- a/lab/src/main/java/shelffront/lab/emulator/EmulatedReplicaSet.java
+++ b/lab/src/main/java/shelffront/lab/emulator/EmulatedReplicaSet.java
@@ -124,6 +124,11 @@
       runOnTransport(() -> EmulatedReplicaSet.this.model.drain(model));
     }
 
+    /** Accepts queries again, in the role that the host has now. */
+    public void cancelDrain() {
+      runOnTransport(() -> EmulatedReplicaSet.this.model.cancelDrain(model));
+    }
+
     /** Multiplies all service times by a factor for a number of seconds. */
     public void slowDown(double factor, double seconds) {
       runOnTransport(() -> model.slowDown(factor, (long) (seconds * 1e6)));
--- a/lab/src/main/java/shelffront/lab/model/ReplicaSetModel.java
+++ b/lab/src/main/java/shelffront/lab/model/ReplicaSetModel.java
@@ -448,6 +448,13 @@
     }
   }
 
+  /**
+   * Ends the drain of a host that has not ended; it accepts requests again, in its present role.
+   */
+  public void cancelDrain(Host host) {
+    host.draining = false;
+  }
+
   private void elect(Host before, long delay) {
     pendingElections++;
     clock.after(
--- a/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
+++ b/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
@@ -1,6 +1,7 @@
 package shelffront.lab;
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
+import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -432,6 +433,54 @@
         "a write took effect more than once");
   }
 
+  /**
+   * Guards against strong reads from a former primary that has told only the replaced router that
+   * it is a replica.
+   */
+  @Test
+  void readsNothingFromFormerPrimaryThatToldReplacedRouterItsRole() throws Exception {
+    EmulatedReplicaSet replicaSet = startReplicaSet("s", 1, 1);
+    EmulatedReplicaSet.Host former = replicaSet.hosts().get(0);
+    start(withFreshReads(replicaSet));
+    Client writer = new Client("airport", null);
+    assertEquals(List.of(), writer.answers());
+    former.slowDown(5000, 60);
+    writer.send("w", "write");
+    await().until(() -> former.startedCount() == 1);
+    former.slowDown(1, 0);
+
+    CompletableFuture<Long> inForce = new CompletableFuture<>();
+    ObjectNode next = withFreshReads(replicaSet);
+    ((ObjectNode) next.path("classes").path(0)).put("giveUpMs", 19_000);
+    gateway.apply(TenantSpecCodec.read(next), inForce::complete);
+    Client reader = new Client("airport", null);
+    assertEquals(List.of(), reader.answers());
+    reader.send("before", "fresh");
+    assertEquals(List.of("before"), reader.answers());
+    assertEquals(2, former.startedCount(), "the new router trusts the primary");
+
+    former.drain();
+    await().until(() -> replicaSet.hosts().get(1).isPrimary());
+    former.cancelDrain();
+    writer.answers();
+    reader.send("after", "fresh");
+    assertEquals(List.of("after"), reader.answers());
+    assertEquals(2, former.startedCount(), "queries that the former primary has started");
+    inForce.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /** A tenant whose hosts serve strongly consistent reads from whatever data they have. */
+  private static ObjectNode withFreshReads(EmulatedReplicaSet replicaSet) {
+    ObjectNode tenant = tenant("airport", replicaSet).put("graceMs", 10_000);
+    ((ArrayNode) tenant.path("classes"))
+        .addObject()
+        .put("name", "fresh")
+        .put("giveUpMs", 20_000)
+        .put("read", "fresh");
+    tenant.putObject("hosts").put("check", "silent");
+    return tenant;
+  }
+
   @Test
   void sendsNothingToHostAfterAdministratorDrainsIt() throws Exception {
     EmulatedReplicaSet replicaSet = startReplicaSet("s", 2, 1);
