Take the role that the response to a health check states

Seen on reading: the response to `SHOW usage` may state `server_role`, as any response may (PROTOCOL, ParameterStatus messages), and the load report in it may be older. The gateway took only the load report, so that a host which had just stated that it is a replica could keep strongly consistent reads.

Change: a replica that is stated there counts as of its arrival; a primary still has to be proved by a response to an attempt or by the position in a load report. The event for reports of other routers serves both and is called Router.onReplicaReport.

--- a/core/src/main/java/shelffront/decision/EndpointReports.java
+++ b/core/src/main/java/shelffront/decision/EndpointReports.java
@@ -51,10 +51,10 @@
   }
 
   /**
-   * Records a report that another router of the tenant has received. It is no proof that a host is
-   * primary, because an endpoint of that router may be another one of the same id.
+   * Records a report that did not come with an outcome of this router. It is no proof that a host
+   * is primary, because an endpoint of another router may be another one of the same id.
    */
-  void recordPredecessorReport(String endpointId, RoleReport report) {
+  void recordReplicaReport(String endpointId, RoleReport report) {
     EndpointState endpoint = state.endpoints.get(endpointId);
     ReplicaSet replicaSet =
         endpoint != null ? endpoint.replicaSet : state.primarySets.get(endpointId);
--- a/core/src/main/java/shelffront/decision/RoutingEngine.java
+++ b/core/src/main/java/shelffront/decision/RoutingEngine.java
@@ -216,9 +216,9 @@
   }
 
   @Override
-  public void onPredecessorReport(long nowMicros, String endpointId, RoleReport report) {
+  public void onReplicaReport(long nowMicros, String endpointId, RoleReport report) {
     state.nowMicros = nowMicros;
-    policies.reports.recordPredecessorReport(endpointId, report);
+    policies.reports.recordReplicaReport(endpointId, report);
   }
 
   @Override
--- a/core/src/main/java/shelffront/routing/Router.java
+++ b/core/src/main/java/shelffront/routing/Router.java
@@ -74,10 +74,11 @@
   void onRoleReportsMissed(long nowMicros);
 
   /**
-   * Reports what another router of the same tenant, which completes its open requests, has received
-   * about the role of an endpoint.
+   * Reports what an endpoint has told of its role other than in the outcome of an attempt or in a
+   * load report: in the response to a health check, or to another router of the same tenant. Only
+   * that the endpoint is a replica counts.
    */
-  void onPredecessorReport(long nowMicros, String endpointId, RoleReport report);
+  void onReplicaReport(long nowMicros, String endpointId, RoleReport report);
 
   /** Reports a message from another gateway of the fleet. */
   void onPeerMessage(long nowMicros, int gatewayIndex, byte[] payload);
--- a/core/src/test/java/shelffront/decision/FormerPrimaryTest.java
+++ b/core/src/test/java/shelffront/decision/FormerPrimaryTest.java
@@ -100,14 +100,14 @@
   void sendsNoReadToHostThatToldPredecessorThatItIsReplica() {
     harness.answerHealthCheck("m1", Role.PRIMARY, harness.nowMicros);
     harness.advanceTime(10 * MS);
-    harness.router.onPredecessorReport(
+    harness.router.onReplicaReport(
         harness.nowMicros,
         "m2",
         new RoleReport(Role.PRIMARY, harness.nowMicros, harness.nowMicros));
     harness.newActions();
     harness.request("a", STRONG_READ);
     assertEquals(List.of("send a m1"), harness.newActions(), "m2 may be another host");
-    harness.router.onPredecessorReport(
+    harness.router.onReplicaReport(
         harness.nowMicros,
         "m1",
         new RoleReport(Role.REPLICA, harness.nowMicros, harness.nowMicros));
--- a/core/src/test/java/shelffront/decision/RoleWorld.java
+++ b/core/src/test/java/shelffront/decision/RoleWorld.java
@@ -281,7 +281,7 @@
     if (message.role == Role.REPLICA && random.nextInt(4) == 0) {
       message.host.proved = false;
       message.host.toldReplicaArrived = message.arrivesAt;
-      engine.onPredecessorReport(
+      engine.onReplicaReport(
           message.arrivesAt,
           message.host.id,
           RoleReport.ofResponse(outcome, false, UNKNOWN, message.arrivesAt));
--- a/gateway/src/main/java/shelffront/tenant/TenantRouting.java
+++ b/gateway/src/main/java/shelffront/tenant/TenantRouting.java
@@ -123,7 +123,7 @@
   // ---- From other routers
 
   void onPredecessorReport(String endpointId, RoleReport report) {
-    router.onPredecessorReport(context.nowMicros(), endpointId, report);
+    router.onReplicaReport(context.nowMicros(), endpointId, report);
   }
 
   void onRoleReportsMissed() {
@@ -195,6 +195,10 @@
         context.nowMicros(), endpointId, response.status(), elapsedMicros, response.loadReport());
     roleReports.onRoleReport(
         endpointId, RoleReport.ofLoadReport(response.loadReport(), context.nowMicros()));
+    // The load report may be older than the response, which states the role as of now.
+    RoleReport stated = new RoleReport(response.role(), Router.UNKNOWN, context.nowMicros());
+    router.onReplicaReport(context.nowMicros(), endpointId, stated);
+    roleReports.onRoleReport(endpointId, stated);
   }
 
   // ---- Actions of the router
