Ask a host that returns for its role before unchecked reads go to it

Change: a host that is listed as ready after a drain, a removal or with a new start time may have handed over its role unseen. If it was the primary it still gets writes at once, which a replica rejects unexecuted; unchecked reads go to it once it has proved its role anew, for which it is asked as it returns. Where health checks are not permitted it is trusted until a report contradicts it, as before.

--- a/core/src/main/java/shelffront/consistency/ReplicaSetRoles.java
+++ b/core/src/main/java/shelffront/consistency/ReplicaSetRoles.java
@@ -27,11 +27,13 @@
  *       reads only if no report about it can have been missed, and none has named it a replica.
  * </ul>
  *
- * <p>Whatever happens to the entry of a host: the primary stays the primary while it drains or is
- * not listed, until a report contradicts it or another host proves to be primary, so that it serves
- * again as soon as it returns. A host that is listed in another set is no primary of this one. What
- * is known of a host is forgotten when it leaves the set; if it joins again, only what is proved to
- * be later than that counts as a proof that it is primary.
+ * <p>Whatever happens to the entry of a host: the primary stays the presumed one while it drains or
+ * is not listed, until a report contradicts it or another host proves to be primary, so that it
+ * gets writes again as soon as it returns. It may have handed over unseen meanwhile, so it gets
+ * unchecked reads once it has proved its role anew, where hosts can be asked for it. A host that is
+ * listed in another set is no primary of this one. What is known of a host is forgotten when it
+ * leaves the set; if it joins again, only what is proved to be later than that counts as a proof
+ * that it is primary.
  *
  * <p>Whatever happens to the gateway: where another router of the same hosts has received reports,
  * or this one has been suspended, only what is proved to be later counts.
@@ -89,6 +91,18 @@
     primaryTrusted = false;
   }
 
+  /**
+   * Records that a host of the set is listed as ready again after a drain, a removal or a restart,
+   * during which it may have handed over its role unseen.
+   */
+  public void recordReturned(String hostId, long nowMicros) {
+    replicaUntilMicros.computeIfPresent(
+        hostId, (id, untilMicros) -> Math.max(untilMicros, nowMicros));
+    if (hostId.equals(primaryId)) {
+      primaryTrusted = false;
+    }
+  }
+
   /** Records that a host has left the set. */
   public void recordRemoved(String hostId) {
     replicaUntilMicros.remove(hostId);
--- a/core/src/main/java/shelffront/decision/EndpointRegistry.java
+++ b/core/src/main/java/shelffront/decision/EndpointRegistry.java
@@ -48,7 +48,7 @@
     endpoint.assignable = true;
     int gatewayCount = state.settings.gateway().gatewayCount();
     endpoint.concurrencyLimit.initialize(Math.max(1, INITIAL_FLEET_CONCURRENCY / gatewayCount));
-    join(state.replicaSet(entry.replicaSet()), endpoint);
+    join(state.replicaSet(entry.replicaSet()), endpoint, restarted);
     if (restarted) {
       endpoint.ejectedUntilMicros = UNKNOWN;
       endpoint.healthCheckedAtMicros = UNKNOWN;
@@ -70,12 +70,12 @@
     }
   }
 
-  private void join(ReplicaSet replicaSet, EndpointState endpoint) {
+  private void join(ReplicaSet replicaSet, EndpointState endpoint, boolean restarted) {
     endpoint.replicaSet = replicaSet;
     replicaSet.listed = true;
     replicaSet.endpoints.put(endpoint.id, endpoint);
     replicaSet.preferredReplicas = null;
-    roleTracker.recordListed(endpoint);
+    roleTracker.recordListed(endpoint, restarted);
   }
 
   /**
--- a/core/src/main/java/shelffront/decision/RoleTracker.java
+++ b/core/src/main/java/shelffront/decision/RoleTracker.java
@@ -3,6 +3,7 @@
 import java.util.Objects;
 import java.util.function.Consumer;
 import shelffront.consistency.ReplicaSetRoles;
+import shelffront.routing.LoadReportSource;
 import shelffront.routing.RoleReport;
 
 /**
@@ -14,20 +15,34 @@
  */
 record RoleTracker(RoutingState state) {
 
-  /** Records that the list names the endpoint as ready. */
-  void recordListed(EndpointState endpoint) {
+  /**
+   * Records that the list names the endpoint as ready.
+   *
+   * @param restarted whether it was not assignable before, or has a new start time
+   */
+  void recordListed(EndpointState endpoint, boolean restarted) {
     ReplicaSet formerSet = state.primarySets.get(endpoint.id);
     if (formerSet != null && formerSet != endpoint.replicaSet) {
       update(formerSet, roles -> roles.recordMoved(endpoint.id));
     }
     update(
         endpoint.replicaSet,
-        roles ->
-            roles.recordListed(
-                endpoint.id,
-                endpoint.listed.listedAsPrimary(),
-                state.roleReportsMissed,
-                state.nowMicros));
+        roles -> {
+          if (restarted && canBeAsked()) {
+            roles.recordReturned(endpoint.id, state.nowMicros);
+          }
+          roles.recordListed(
+              endpoint.id,
+              endpoint.listed.listedAsPrimary(),
+              state.roleReportsMissed,
+              state.nowMicros);
+        });
+  }
+
+  /** Whether a health check of an endpoint may prove its role. */
+  private boolean canBeAsked() {
+    return state.settings.limits().healthChecksAllowed()
+        && state.settings.loadReportSource() != LoadReportSource.NONE;
   }
 
   /** Records that the endpoint is not assignable any more. */
