Connect a resumed tenant to the hosts of its present list

Cause: with a list in its specification, a suspended tenant keeps a changed list, but when it is resumed it passes the list to the router only. The connections kept the addresses of the former list.

Change: a resumed tenant publishes its list to connections and router as any change does. With a discovery service, whose whole list the watch asks for, connections were told first already.

Test: resumedTenantConnectsToAddressesThatWereChangedMeanwhile; without the change it waits 10 s in vain for a connection at the new address.

--- a/gateway/src/main/java/shelffront/tenant/TenantEndpoints.java
+++ b/gateway/src/main/java/shelffront/tenant/TenantEndpoints.java
@@ -61,13 +61,13 @@
 
   /**
    * After a suspension: opens the watch from the start or, without discovery, passes the list of
-   * the specification to the router.
+   * the specification, which may have been replaced meanwhile, to the connections and the router.
    */
   void resume() {
     if (discovery != null) {
       discovery.watchFromStart();
     } else {
-      updateRouter(EndpointUpdateKind.SNAPSHOT, list);
+      publishSnapshot();
     }
   }
 
--- a/gateway/src/test/java/shelffront/tenant/TenantSuspensionTest.java
+++ b/gateway/src/test/java/shelffront/tenant/TenantSuspensionTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -26,8 +28,8 @@
 import shelffront.routing.Router;
 
 /**
- * Tests when a tenant is suspended and resumed. The tenant has no endpoints, and the test sets the
- * clock.
+ * Tests when a tenant is suspended and resumed. The tenant has no endpoints unless a test gives it
+ * one, and the test sets the clock.
  */
 class TenantSuspensionTest {
 
@@ -73,18 +75,10 @@
   @BeforeEach
   void start() throws Exception {
     network = Network.open(loop, new ResourceBudget(1 << 24), new Counters(), line -> {});
-    TenantSpec spec =
-        TenantSpecCodec.read(
-            TenantSpecCodec.parse(
-                """
-                {"id": "airport", "boxes": {"list": []}, "graceMs": 2000,
-                 "classes": [{"name": "read", "giveUpMs": 100000, "read": "session"}]}
-                """
-                    .getBytes(StandardCharsets.UTF_8)));
     tenant =
         new Tenant(
             network.forTenant("airport", new Flow<>(1), 1 << 20),
-            spec,
+            specWith(""),
             7,
             new ConnectionQuotas(10),
             new TenantQuotas(0, 10, loop.nowMicros()));
@@ -100,6 +94,23 @@
     loopThread.start();
   }
 
+  /** Returns a specification of the tenant with these endpoints. */
+  private static TenantSpec specWith(String endpoints) throws Exception {
+    String document =
+        """
+        {"id": "airport", "boxes": {"list": [%s]}, "graceMs": 2000,
+         "classes": [{"name": "read", "giveUpMs": 100000, "read": "session"}]}
+        """;
+    return TenantSpecCodec.read(
+        TenantSpecCodec.parse(document.formatted(endpoints).getBytes(StandardCharsets.UTF_8)));
+  }
+
+  /** Returns a specification with one endpoint at the address of the socket. */
+  private static TenantSpec specWith(ServerSocket host) throws Exception {
+    String endpoint = "{\"id\": \"s-0\", \"address\": \"127.0.0.1:%d\", \"group\": 1}";
+    return specWith(endpoint.formatted(host.getLocalPort()));
+  }
+
   @AfterEach
   void stop() throws Exception {
     loop.post(loop::stop);
@@ -167,6 +178,28 @@
     assertEquals(List.of("rejected"), events, "a resumed tenant responds to requests");
   }
 
+  /**
+   * Guards against requests to the former address of a host, which another tenant may have now, if
+   * an administrator changes it while the tenant is suspended.
+   */
+  @Test
+  void resumedTenantConnectsToAddressesThatWereChangedMeanwhile() throws Exception {
+    try (ServerSocket before = new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        ServerSocket after = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+      TenantSpec former = specWith(before);
+      TenantSpec changed = specWith(after);
+      runOnLoop(() -> tenant.update(former));
+      runOnLoop(() -> tenant.onClientConnected(client));
+      before.accept().close();
+      runOnLoop(() -> tenant.onClientClosed(client));
+      advanceClock(31);
+      runOnLoop(() -> tenant.update(changed));
+      runOnLoop(() -> tenant.onClientConnected(client));
+      after.setSoTimeout(10_000);
+      after.accept().close();
+    }
+  }
+
   /**
    * A client may disconnect while its request is still open. The tenant must not be suspended until
    * the request has ended, and must be suspended afterwards.
