Take the list of another discovery service whatever its revision

Cause: a revision was compared without the service that counts it. The watch asked the new service for changes since the revision of the former one, and its whole list was dropped as older.

Change: where a tenant's specification names another service, the client begins anew: what the former service still sends is ignored, and the first watch asks for the whole list. SIGHUP in the gateway of one deployment moves the address of the platform's one service, which goes on numbering its list, and stays as it was: an older list at the new address is still refused for 30 s.

--- a/gateway/src/main/java/shelffront/discovery/DiscoveryCall.java
+++ b/gateway/src/main/java/shelffront/discovery/DiscoveryCall.java
@@ -26,6 +26,7 @@
 
   private final DiscoveryClient discovery;
   private final boolean isWatch;
+  private final int service;
   private final HttpLineReader response = new HttpLineReader(this::onLine);
   private final StringBuilder body = new StringBuilder();
 
@@ -41,10 +42,12 @@
       InetSocketAddress address,
       String request,
       boolean isWatch,
+      int service,
       DiscoveryClient discovery) {
     super(network, "discovery", channel, MAX_INPUT_BYTES);
     this.discovery = discovery;
     this.isWatch = isWatch;
+    this.service = service;
     restartSilenceDeadline();
     write(request.getBytes(US_ASCII));
     connect(address);
@@ -175,7 +178,7 @@
       return;
     }
     listReceived = true;
-    discovery.onEndpointList(list);
+    discovery.onEndpointList(list, service);
   }
 
   private void finish(CloseReason reason) {
--- a/gateway/src/main/java/shelffront/discovery/DiscoveryClient.java
+++ b/gateway/src/main/java/shelffront/discovery/DiscoveryClient.java
@@ -57,6 +57,9 @@
   private long revision;
   private long newestListMicros;
 
+  /** Number of changes of the service; a call belongs to the service at which it was started. */
+  private int service;
+
   /** Whether a watch is wanted; the watch itself may have failed. */
   private boolean watchWanted;
 
@@ -108,6 +111,19 @@
     }
   }
 
+  /**
+   * Changes to another discovery service, which counts the revisions of a list of its own. What the
+   * former service still sends is ignored, and the first watch at the new one begins with its whole
+   * list. The listener keeps the last list until then.
+   */
+  public void changeService(InetSocketAddress newAddress) {
+    close(CloseReason.REPLACED);
+    service++;
+    revision = 0;
+    newestListMicros = 0;
+    changeAddress(newAddress);
+  }
+
   /** Whether the watch that was started last is open or being opened. */
   public boolean isOpen() {
     return watches.isNewestOpen();
@@ -146,6 +162,7 @@
               + address.getPort()
               + "\r\nAccept: application/json\r\n\r\n",
           isWatch,
+          service,
           this);
     } catch (IOException e) {
       network
@@ -157,10 +174,15 @@
   }
 
   /**
-   * Forwards a list to the listener unless it is stale. A stale list would make draining and
-   * removed endpoints assignable again.
+   * Forwards a list to the listener unless it is stale or from a former service. A stale list would
+   * make draining and removed endpoints assignable again.
+   *
+   * @param listService number of the service that the list is from
    */
-  void onEndpointList(EndpointList list) {
+  void onEndpointList(EndpointList list, int listService) {
+    if (listService != service) {
+      return;
+    }
     if (list.revision() < revision
         && network.loop().nowMicros() < newestListMicros + STALE_LIST_WINDOW_MICROS) {
       network
--- a/gateway/src/main/java/shelffront/tenant/Tenant.java
+++ b/gateway/src/main/java/shelffront/tenant/Tenant.java
@@ -197,7 +197,7 @@
       TenantSpec next, boolean discoveryChanged, boolean listChanged, boolean drainsChanged) {
     TenantEndpoints endpoints = routing.endpoints();
     if (discoveryChanged) {
-      endpoints.changeDiscoveryAddress(next.discoveryAddress());
+      endpoints.changeDiscoveryService(next.discoveryAddress());
     }
     if (listChanged) {
       endpoints.replaceList(next.endpoints());
--- a/gateway/src/main/java/shelffront/tenant/TenantEndpoints.java
+++ b/gateway/src/main/java/shelffront/tenant/TenantEndpoints.java
@@ -100,10 +100,16 @@
     return discovery != null && !next.discoveryAddress().equals(context.spec().discoveryAddress());
   }
 
+  /** Changes the address of the discovery service, which goes on numbering its list. */
   void changeDiscoveryAddress(InetSocketAddress address) {
     discovery.changeAddress(address);
   }
 
+  /** Changes to another discovery service, whose list replaces the present one. */
+  void changeDiscoveryService(InetSocketAddress address) {
+    discovery.changeService(address);
+  }
+
   void replaceList(EndpointList next) {
     list = next;
   }
