Forget what is known of a host whose id names another one now

Callers saw: an administrator gave a tenant's list other addresses under the same ids, and a strongly consistent read was run on the new host that has the id of the former primary, a replica.

Cause: roles and positions are kept by id. In a tenant's specification an address is what names a host; within the platform it is the id, and the address may change.

Change: where an administrator changes an address, or the discovery service, the router drops its endpoints and what it knows of their roles before it takes the list. The answer to a health check that was sent to the former address reports nothing. A response to an attempt at an entry that has left the list is no proof that a host which joined with its id is primary; that it is a replica still counts.

Tests: readsNothingFromReplicaThatHasTheIdOfAnotherPrimary, on one loop and on three, fails without the change in TenantEndpoints (a query was started on the replica); takesNoProofFromResponseOfFormerEntry fails without the check in EndpointReports. The check of the address of a health check has no test of its own.

--- a/core/src/main/java/shelffront/decision/EndpointReports.java
+++ b/core/src/main/java/shelffront/decision/EndpointReports.java
@@ -13,7 +13,8 @@
 
   /**
    * Records what the response to an attempt reports. The load report in it is older than the
-   * response, so its role counts only if the response itself proves none.
+   * response, so its role counts only if the response itself proves none. After its endpoint has
+   * left the list, a response is no proof for an endpoint that has joined with the same id.
    *
    * @param attempt the attempt, or null if it is not known
    */
@@ -34,7 +35,10 @@
     if (report.role() == Role.UNKNOWN) {
       report = RoleReport.ofLoadReport(outcome.loadReport(), state.nowMicros);
     }
-    roleTracker.record(endpoint.replicaSet, endpoint.id, report);
+    boolean former = state.endpoints.get(endpoint.id) != endpoint;
+    if (!former || report.role() == Role.REPLICA) {
+      roleTracker.record(endpoint.replicaSet, endpoint.id, report);
+    }
   }
 
   /** Records the load report in the response to a health check; null if there was none. */
--- a/core/src/test/java/shelffront/decision/FormerPrimaryTest.java
+++ b/core/src/test/java/shelffront/decision/FormerPrimaryTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import shelffront.routing.AttemptOutcome;
 import shelffront.routing.AttemptStatus;
 import shelffront.routing.Availability;
 import shelffront.routing.Endpoint;
@@ -101,6 +102,29 @@
     assertEquals("send a m2", silent.newActions().get(0));
   }
 
+  /** Guards against a proof of a host for another one that has joined with its id. */
+  @Test
+  void takesNoProofFromResponseOfFormerEntry() {
+    harness.answerHealthCheck("m2", Role.PRIMARY, harness.nowMicros);
+    harness.request("held", NON_IDEMPOTENT_WRITE);
+    drainAndReturn();
+    harness.router.onAttemptOutcome(
+        harness.nowMicros,
+        new AttemptOutcome(
+            "held",
+            0,
+            "m2",
+            AttemptStatus.OK,
+            true,
+            MS,
+            Role.PRIMARY,
+            harness.nowMicros + MS,
+            null));
+    harness.newActions();
+    harness.request("a", STRONG_READ);
+    assertEquals(List.of(), harness.newActions());
+  }
+
   /** Guards against trust in the list by a router that other routers precede. */
   @Test
   void asksListedPrimaryForItsRoleIfReportsWereMissed() {
--- a/gateway/src/main/java/shelffront/backend/BackendCall.java
+++ b/gateway/src/main/java/shelffront/backend/BackendCall.java
@@ -1,5 +1,6 @@
 package shelffront.backend;
 
+import java.net.InetSocketAddress;
 import shelffront.net.EventLoop.Deadline;
 import shelffront.request.BackendAttempt;
 
@@ -17,6 +18,7 @@
 
   final BackendAttempt attempt;
   final long startedAtMicros;
+  private final InetSocketAddress address;
   Deadline connectDeadline;
   Deadline endDeadline;
 
@@ -30,5 +32,23 @@
     this.host = host;
     this.attempt = attempt;
     this.startedAtMicros = startedAtMicros;
+    address = host == null ? null : host.address;
+  }
+
+  void cancelDeadlines() {
+    endDeadline.cancel();
+    if (connectDeadline != null) {
+      connectDeadline.cancel();
+    }
+  }
+
+  /**
+   * Returns the response without what it reports, if its endpoint has another address by now, where
+   * there may be another host.
+   */
+  BackendResponse atPresentAddress(BackendResponse response) {
+    return host == null || host.address.equals(address)
+        ? response
+        : BackendResponse.of(response.status());
   }
 }
--- a/gateway/src/main/java/shelffront/backend/BackendConnections.java
+++ b/gateway/src/main/java/shelffront/backend/BackendConnections.java
@@ -384,16 +384,15 @@
     }
     call.finished = true;
     call.connection = null;
-    call.endDeadline.cancel();
-    if (call.connectDeadline != null) {
-      call.connectDeadline.cancel();
-    }
+    call.cancelDeadlines();
     if (call.attempt != null) {
       calls.remove(call.attempt);
       listener.onAttemptEnded(call.attempt, response);
     } else {
       listener.onHealthCheckEnded(
-          call.endpointId, response, network.loop().nowMicros() - call.startedAtMicros);
+          call.endpointId,
+          call.atPresentAddress(response),
+          network.loop().nowMicros() - call.startedAtMicros);
     }
   }
 }
--- a/gateway/src/main/java/shelffront/tenant/TenantEndpoints.java
+++ b/gateway/src/main/java/shelffront/tenant/TenantEndpoints.java
@@ -32,6 +32,9 @@
   private final DiscoveryClient discovery; // null if the specification contains the list
   private EndpointList list; // as last received, without the drains set by administrators
 
+  /** Whether ids of the next list may name other hosts than those of the list before. */
+  private boolean hostsReplaced;
+
   TenantEndpoints(TenantContext context, Router router, BackendConnections backends) {
     this.context = context;
     this.router = router;
@@ -81,6 +84,12 @@
         context.nowMicros(), EndpointUpdateKind.SNAPSHOT, list.revision(), List.of());
   }
 
+  /** Makes the router forget positions and roles, which are those of other hosts. */
+  private void forgetHosts() {
+    removeEndpointsFromRouter();
+    router.onRoleReportsMissed(context.nowMicros());
+  }
+
   void stopWatch() {
     if (discovery != null) {
       discovery.watch(false);
@@ -107,10 +116,15 @@
 
   /** Changes to another discovery service, whose list replaces the present one. */
   void changeDiscoveryService(InetSocketAddress address) {
+    hostsReplaced = true;
     discovery.changeService(address);
   }
 
+  /** Replaces the list of the specification. An id with another address names another host. */
   void replaceList(EndpointList next) {
+    hostsReplaced |=
+        next.addresses().entrySet().stream()
+            .anyMatch(each -> !each.getValue().equals(list.addresses().get(each.getKey())));
     list = next;
   }
 
@@ -145,6 +159,10 @@
   }
 
   private void updateRouter(EndpointUpdateKind kind, EndpointList update) {
+    if (hostsReplaced) {
+      hostsReplaced = false;
+      forgetHosts();
+    }
     Set<String> drained = context.spec().drainedEndpoints();
     List<Endpoint> endpoints =
         drained.isEmpty()
--- a/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
+++ b/lab/src/test/java/shelffront/lab/HostedTenantsTest.java
@@ -469,6 +469,28 @@
     inForce.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
 
+  /** Guards against trust in a host that has the id of a former one, which was the primary. */
+  @Test
+  void readsNothingFromReplicaThatHasTheIdOfAnotherPrimary() throws Exception {
+    EmulatedReplicaSet before = startReplicaSet("s", 1, 1);
+    EmulatedReplicaSet after = startReplicaSet("s", 1, 1);
+    EmulatedReplicaSet.Host replica = after.hosts().get(0);
+    replica.drain();
+    await().until(() -> after.hosts().get(1).isPrimary());
+    replica.cancelDrain();
+    start(withFreshReads(before));
+    Client client = new Client("airport", null);
+    assertEquals(List.of(), client.answers());
+    client.send("a", "fresh");
+    assertEquals(List.of("a"), client.answers());
+    CompletableFuture<Long> inForce = new CompletableFuture<>();
+    gateway.apply(TenantSpecCodec.read(withFreshReads(after)), inForce::complete);
+    inForce.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    client.send("b", "fresh");
+    assertEquals(List.of("b"), client.answers());
+    assertEquals(0, replica.startedCount());
+  }
+
   /** A tenant whose hosts serve strongly consistent reads from whatever data they have. */
   private static ObjectNode withFreshReads(EmulatedReplicaSet replicaSet) {
     ObjectNode tenant = tenant("airport", replicaSet).put("graceMs", 10_000);
