Count the role a health check states before its load report sends requests

Seen on reading the whole change: the load report's role came first, and its event sends queued requests, so that a read could leave for a host whose response stated in the same message that it is a replica.

--- a/gateway/src/main/java/shelffront/tenant/TenantRouting.java
+++ b/gateway/src/main/java/shelffront/tenant/TenantRouting.java
@@ -191,14 +191,15 @@
     if (response.status() != AttemptStatus.OK) {
       context.network().counters().add(Counters.Name.PROBES_FAILED);
     }
+    // First, because the load report may be older than the response, which states the role as of
+    // now, and its result sends queued requests.
+    RoleReport stated = new RoleReport(response.role(), Router.UNKNOWN, context.nowMicros());
+    router.onReplicaReport(context.nowMicros(), endpointId, stated);
+    roleReports.onRoleReport(endpointId, stated);
     router.onHealthCheckResult(
         context.nowMicros(), endpointId, response.status(), elapsedMicros, response.loadReport());
     roleReports.onRoleReport(
         endpointId, RoleReport.ofLoadReport(response.loadReport(), context.nowMicros()));
-    // The load report may be older than the response, which states the role as of now.
-    RoleReport stated = new RoleReport(response.role(), Router.UNKNOWN, context.nowMicros());
-    router.onReplicaReport(context.nowMicros(), endpointId, stated);
-    roleReports.onRoleReport(endpointId, stated);
   }
 
   // ---- Actions of the router
