Forget hosts only where an id has another address, and with the new list

Change: an id counts that the former list has with another address; the router forgets as that list is replaced, or as the first list of another service arrives.

--- a/gateway/src/main/java/shelffront/tenant/TenantEndpoints.java
+++ b/gateway/src/main/java/shelffront/tenant/TenantEndpoints.java
@@ -32,8 +32,8 @@
   private final DiscoveryClient discovery; // null if the specification contains the list
   private EndpointList list; // as last received, without the drains set by administrators
 
-  /** Whether ids of the next list may name other hosts than those of the list before. */
-  private boolean hostsReplaced;
+  /** Whether the next list is the first one of another discovery service. */
+  private boolean serviceChanged;
 
   TenantEndpoints(TenantContext context, Router router, BackendConnections backends) {
     this.context = context;
@@ -116,16 +116,24 @@
 
   /** Changes to another discovery service, whose list replaces the present one. */
   void changeDiscoveryService(InetSocketAddress address) {
-    hostsReplaced = true;
+    serviceChanged = true;
     discovery.changeService(address);
   }
 
   /** Replaces the list of the specification. An id with another address names another host. */
   void replaceList(EndpointList next) {
-    hostsReplaced |=
-        next.addresses().entrySet().stream()
-            .anyMatch(each -> !each.getValue().equals(list.addresses().get(each.getKey())));
+    boolean hostsReplaced =
+        list.addresses().entrySet().stream()
+            .anyMatch(former -> hasOtherAddress(next, former.getKey(), former.getValue()));
     list = next;
+    if (hostsReplaced) {
+      forgetHosts();
+    }
+  }
+
+  private static boolean hasOtherAddress(
+      EndpointList list, String endpointId, InetSocketAddress address) {
+    return !list.addresses().getOrDefault(endpointId, address).equals(address);
   }
 
   /** Passes the whole list to the connections and to the router. */
@@ -138,6 +146,10 @@
 
   @Override
   public void onEndpoints(EndpointList update) {
+    if (serviceChanged) {
+      serviceChanged = false;
+      forgetHosts();
+    }
     list = list.apply(update);
     backends.updateEndpoints(update);
     updateRouter(
@@ -159,10 +171,6 @@
   }
 
   private void updateRouter(EndpointUpdateKind kind, EndpointList update) {
-    if (hostsReplaced) {
-      hostsReplaced = false;
-      forgetHosts();
-    }
     Set<String> drained = context.spec().drainedEndpoints();
     List<Endpoint> endpoints =
         drained.isEmpty()
